--- /dev/null
+++ b/crates/plovershelf-wirehost/src/facts.rs
@@ -0,0 +1,99 @@
+//! Start facts out of the settings text.
+
+use plovershelf::interface::{AdviceMeaning, Halting, OfferingTerms, Repeats, StartFacts};
+use serde_json::Value;
+
+/// The facts, and the names of the gauges in the order in which their values come.
+pub struct Start {
+    pub facts: StartFacts,
+    pub meters: Vec<String>,
+}
+
+fn number(value: &Value, key: &str, default: f64) -> f64 {
+    value[key].as_f64().unwrap_or(default)
+}
+
+fn flag(value: &Value, key: &str) -> bool {
+    value[key].as_bool().unwrap_or(false)
+}
+
+fn list<'a>(value: &'a Value, key: &str) -> &'a [Value] {
+    value[key].as_array().map_or(&[], Vec::as_slice)
+}
+
+pub fn read(text: &str, seed: u64) -> Result<Start, String> {
+    let top: Value = serde_json::from_str(text).map_err(|e| format!("settings don't parse: {e}"))?;
+    if !top.is_object() {
+        return Err("settings are not an object".to_string());
+    }
+    let own = &top["family_info"];
+    let rules = &top["rules"];
+    let limits = &top["policy_limits"];
+    let of = |key: &str, place: usize| list(own, key).get(place);
+    let offerings: Vec<OfferingTerms> = list(&top, "classes")
+        .iter()
+        .enumerate()
+        .map(|(place, class)| OfferingTerms {
+            contract_ms: number(class, "aim_ms", f64::MAX),
+            contract_stretch: number(class, "aim_stretch", 0.0),
+            hard_limit_ms: number(class, "deadline_ms", f64::MAX),
+            ticket_window_ms: number(class, "dedup_window_ms", 0.0),
+            repeats: match class["effect"].as_str() {
+                Some("by_key") => Repeats::Ticketed,
+                Some("once") => Repeats::Exclusive,
+                _ => Repeats::Rerunnable,
+            },
+            revenue: number(class, "gain", 1.0),
+            late_share: number(class, "late_worth", 0.0),
+            skip_share: of("class_skip_worth", place).and_then(Value::as_f64).unwrap_or(0.0),
+            may_call: of("class_calls", place).and_then(Value::as_bool).unwrap_or(false),
+        })
+        .collect();
+    if offerings.is_empty() {
+        return Err("settings name no classes".to_string());
+    }
+    let cores = number(own, "cores", 0.0);
+    let memory_kb = number(own, "memory_kb", 0.0);
+    if cores < 1.0 || memory_kb <= 0.0 {
+        return Err("settings tell no cores or no memory".to_string());
+    }
+    let facts = StartFacts {
+        seed,
+        offerings,
+        tenant_quotas: list(&top, "tenants").iter().map(|t| number(t, "quota_per_s", f64::MAX)).collect(),
+        cores,
+        memory_kb,
+        run_factor: number(own, "run_factor", 1.0),
+        entry_kb: number(own, "entry_kb", 0.0),
+        call_share: (own["below"].as_str() == Some("shared")).then(|| number(own, "dep_share", 1.0)),
+        call_span_ms: number(own, "calls_over_ms", 1.0),
+        call_linger_ms: number(own, "linger_ms", 0.0),
+        halting: match own["halt"].as_str() {
+            Some("abort") => Halting::Abort,
+            Some("suspend") => Halting::Pause,
+            _ => Halting::Never,
+        },
+        advice: match own["signal"].as_str() {
+            Some("threshold") => AdviceMeaning::LowestRank,
+            Some("window") => AdviceMeaning::OutstandingPerCaller,
+            Some("share_of") => AdviceMeaning::ShareOfUsual,
+            _ => AdviceMeaning::Nothing,
+        },
+        servers: number(&top, "group_size", 1.0).max(1.0),
+        callers: number(own, "senders", 1.0).max(1.0),
+        just_started: flag(own, "just_started"),
+        cold_speed: number(rules, "cold_from", 1.0),
+        warm_within_ms: number(rules, "warm_within_ms", 0.0),
+        tip_multiple: number(rules, "tip_multiple", 1.0),
+        grace_ms: number(rules, "drain_grace_ms", 0.0),
+        slack_ms: number(rules, "answer_slack_ms", 0.0),
+        cool_down_most_ms: if flag(limits, "retry_after") {
+            number(limits, "max_retry_after_ms", 0.0)
+        } else {
+            0.0
+        },
+        share_answers_ms: number(own, "share_for_ms", 0.0),
+    };
+    let meters = list(own, "meters").iter().map(|m| m.as_str().unwrap_or("").to_string()).collect();
+    Ok(Start { facts, meters })
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,679 @@
+//! Every decision of a backend: what it takes, runs, holds, stops and turns away, and what it tells callers.
+//! Callers make a [`Backend`] with [`Backend::start`] and then call one function for each thing that happens;
+//! each returns an [`Outcome`]: the changes of state that it made and the backend's own words.
+//! The types of that interface are in `interface.rs`; the reasons for what is done here in `docs/design.md`.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[cfg(test)]
+mod tests;
+
+/// Even steps between the soft and the hard quota; also the cycle of the counter.
+const STEPS: u32 = 20;
+/// The hard quota of a warm backend, in runs a core; never over HARD_OF_SURVIVABLE of what it survives.
+const HARD_WARM: f64 = 3.0;
+const HARD_OF_SURVIVABLE: f64 = 0.7;
+/// The least hard quota, and how far between one a core and the hard quota the soft quota lies.
+const HARD_LEAST: f64 = 1.35;
+const SOFT_PART: f64 = 0.25;
+/// Even steps by which the hard quota rises from cold to warm.
+const WARM_STEPS: f64 = 8.0;
+/// The busy-core gate: below this reading the soft band refuses nothing.
+const GATE_BUSY: f64 = 0.85;
+/// Half-life of the tallies of ranks, tenants and outcomes.
+const TALLY_HALF_MS: f64 = 2000.0;
+const PERIOD_MS: f64 = 100.0;
+/// A run is not begun when this part of its foreseen time is more than what is left.
+const FORESEEN_PART: f64 = 0.7;
+/// Memory that runs, and that all held, may take; the rest is for what is being read.
+const MEMORY_RUN: f64 = 0.80;
+const MEMORY_HOLD: f64 = 0.90;
+/// Before the process is stopped, all is answered so long ahead.
+const STOP_MARGIN_MS: f64 = 40.0;
+/// Cool-down told with a dismissal at the hard quota and in the soft band.
+const COOL_HARD_MS: f64 = 300.0;
+const COOL_SOFT_MS: f64 = 0.0;
+/// Part of the told share of the dependency that calls in hand may take.
+const CALLS_OF_SHARE: f64 = 0.9;
+
+struct Pcg(u64);
+
+impl Pcg {
+    fn new(seed: u64) -> Self {
+        Pcg(seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407))
+    }
+    fn next(&mut self) -> f64 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let mixed = (((old >> 18) ^ old) >> 27) as u32;
+        f64::from(mixed.rotate_right((old >> 59) as u32)) / 4294967296.0
+    }
+}
+
+/// A row of the table of offerings: what its terms come to here, and what its runs have shown.
+struct Offering {
+    contract_ms: f64,
+    hard_limit_ms: f64,
+    window_ms: f64,
+    repeats: Repeats,
+    revenue: f64,
+    late_counts: bool,
+    may_skip: bool,
+    may_call: bool,
+    /// Its bucket of ranks: offerings of equal revenue share one, the lowest revenue comes first.
+    bucket: usize,
+    /// Slices of rank below its bucket, and in it.
+    ranks_from: f64,
+    ranks_to: f64,
+    /// Decaying sums over ended runs: their number, core time, hinted work.
+    runs: f64,
+    core_ms: f64,
+    hinted_ms: f64,
+    /// Most time that a caller has been seen to wait; one that waits less has waited before.
+    patience_ms: f64,
+    counter: u32,
+    tally: f64,
+}
+
+struct Invocation {
+    state: State,
+    offering: usize,
+    footprint_kb: f64,
+    hint_ms: Option<f64>,
+    arrived: f64,
+    /// When its final answer is due, and when it is given up.
+    answer_by: f64,
+    give_up_at: f64,
+    due: f64,
+    /// It ran, or may have.
+    ran: bool,
+    /// Core time had so far, and the backend's core clock when that was last brought up to date.
+    core_ms: f64,
+    core_clock: f64,
+}
+
+pub struct Backend {
+    facts: StartFacts,
+    offerings: Vec<Offering>,
+    buckets: usize,
+    invocations: BTreeMap<u32, Invocation>,
+    /// All due times but the periodic one: (bits of the time, id).
+    due: BTreeSet<(u64, u32)>,
+    woken_for: f64,
+    now: f64,
+    began: f64,
+    leaving: Option<(f64, f64)>,
+    on_core: usize,
+    at_call: usize,
+    calls_out: usize,
+    lingering: Vec<f64>,
+    calls_mean: f64,
+    memory_kb: f64,
+    remembered: BTreeSet<(u64, u32)>,
+    /// Advances by the core time that each run on a core gets.
+    core_clock: f64,
+    busy: f64,
+    tenants: Vec<f64>,
+    tenant_time: f64,
+    tally_time: f64,
+    advised: f64,
+    chance: Pcg,
+    out: Outcome,
+}
+
+fn bits(time: f64) -> u64 {
+    time.max(0.0).to_bits()
+}
+
+impl Backend {
+    pub fn start(now: f64, facts: StartFacts) -> (Self, Outcome) {
+        let mut values: Vec<f64> = facts.offerings.iter().map(|o| o.revenue).collect();
+        values.sort_by(f64::total_cmp);
+        values.dedup();
+        let all = facts.offerings.len() as f64;
+        let offerings = facts.offerings.iter().map(|o| {
+            let below = facts.offerings.iter().filter(|p| p.revenue < o.revenue).count() as f64;
+            let upto = facts.offerings.iter().filter(|p| p.revenue <= o.revenue).count() as f64;
+            Offering {
+                contract_ms: o.contract_ms.min(o.hard_limit_ms),
+                hard_limit_ms: o.hard_limit_ms,
+                window_ms: o.ticket_window_ms,
+                repeats: o.repeats,
+                revenue: o.revenue,
+                late_counts: o.late_share > 0.0,
+                may_skip: o.skip_share > 0.0,
+                may_call: o.may_call,
+                bucket: values.iter().position(|v| *v == o.revenue).unwrap_or(0),
+                ranks_from: below / all,
+                ranks_to: upto / all,
+                runs: 0.0,
+                core_ms: 0.0,
+                hinted_ms: 0.0,
+                patience_ms: 0.0,
+                counter: 0,
+                tally: 0.0,
+            }
+        });
+        let mut backend = Backend {
+            offerings: offerings.collect(),
+            buckets: values.len(),
+            invocations: BTreeMap::new(),
+            due: BTreeSet::new(),
+            woken_for: f64::MAX,
+            now,
+            began: now,
+            leaving: None,
+            on_core: 0,
+            at_call: 0,
+            calls_out: 0,
+            lingering: Vec::new(),
+            calls_mean: 0.0,
+            memory_kb: 0.0,
+            remembered: BTreeSet::new(),
+            core_clock: 0.0,
+            busy: 1.0,
+            tenants: vec![0.0; facts.tenant_quotas.len()],
+            tenant_time: now,
+            tally_time: now,
+            advised: -1.0,
+            chance: Pcg::new(facts.seed),
+            out: Outcome::default(),
+            facts,
+        };
+        let spread = backend.chance.next();
+        backend.out.words.wakes.push((PERIOD_MS * (0.5 + spread), Wake::Periodic));
+        let outcome = backend.result();
+        (backend, outcome)
+    }
+
+    /// The ordinary path of an invocation, from its reading to its run or its dismissal.
+    pub fn arrived(&mut self, now: f64, arrival: Arrival) -> Outcome {
+        self.pass_to(now);
+        let id = arrival.id;
+        let left = self.take_in(&arrival);
+        // A repeat of what is held, runs or ran is never run beside it: it shares that one's answer.
+        if arrival.original.is_some() {
+            self.change(id, State::Joined);
+            return self.result();
+        }
+        // Expired work is shed before anything else: it can't be answered in its contract time.
+        if left < FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms) {
+            self.dismiss(id, 0.0, false);
+            return self.result();
+        }
+        // After the notice and its grace nothing is run.
+        if self.leaving.is_some_and(|(grace_end, _)| now - arrival.unread_ms > grace_end) {
+            self.dismiss(id, self.facts.cool_down_most_ms, true);
+            return self.result();
+        }
+        let (soft, hard) = self.quotas();
+        let load = self.load();
+        // At the hard quota every arrival is refused.
+        if load >= hard || !self.memory_allows(id) {
+            self.dismiss(id, COOL_HARD_MS, true);
+            return self.result();
+        }
+        // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
+        let over_quota = self.tenant_over_quota(arrival.tenant);
+        if load > soft && self.busy >= GATE_BUSY {
+            let kept = self.kept_of(arrival.offering, soft, hard, load);
+            let row = &mut self.offerings[arrival.offering];
+            row.counter = (row.counter + 1) % STEPS;
+            if over_quota || f64::from(row.counter) >= kept * f64::from(STEPS) {
+                self.dismiss(id, COOL_SOFT_MS, true);
+                return self.result();
+            }
+        }
+        if let Some(admitted) = self.tenants.get_mut(arrival.tenant) {
+            *admitted += 1.0;
+        }
+        self.remember(id, &arrival);
+        self.run_held();
+        self.result()
+    }
+
+    pub fn caller_gone(&mut self, now: f64, id: u32) -> Outcome {
+        self.pass_to(now);
+        if self.invocations.contains_key(&id) {
+            self.finish(id, Ending::CallerGone);
+            self.run_held();
+        }
+        self.result()
+    }
+
+    pub fn wants_call(&mut self, now: f64, id: u32) -> Outcome {
+        self.pass_to(now);
+        match self.invocations.get(&id).map(|i| i.state) {
+            Some(State::Running) => {
+                self.change(id, State::AtCall);
+                self.place_calls();
+                self.run_held();
+            }
+            // Its answer is given: the wire ends it here by itself.
+            Some(State::Stopping) => self.change(id, State::AtCall),
+            _ => {}
+        }
+        self.result()
+    }
+
+    pub fn call_ended(&mut self, now: f64, id: u32, end: CallEnd) -> Outcome {
+        self.pass_to(now);
+        if let Some(State::Calling { .. }) = self.invocations.get(&id).map(|i| i.state) {
+            let rerunnable = self.row(id).repeats == Repeats::Rerunnable;
+            match end {
+                CallEnd::Ok => self.change(id, State::Running),
+                CallEnd::ProvenNotRun => self.change(id, State::AtCall),
+                _ if rerunnable => self.change(id, State::AtCall),
+                _ => {
+                    self.change(id, State::AtCall);
+                    self.give_up(id);
+                }
+            }
+            if end == CallEnd::GivenUp {
+                self.lingering.push(now + self.facts.call_linger_ms);
+            }
+            self.place_calls();
+        }
+        self.result()
+    }
+
+    pub fn run_ended(&mut self, now: f64, id: u32, end: RunEnd) -> Outcome {
+        self.pass_to(now);
+        if let Some(invocation) = self.invocations.get(&id) {
+            let state = invocation.state;
+            match (state, end) {
+                (State::Spent { ending, .. }, _) => self.change(id, State::Ended(ending)),
+                (_, RunEnd::Ok) => {
+                    self.change(id, State::Ended(Ending::Succeeded));
+                }
+                (_, RunEnd::Error) => self.change(id, State::Ended(Ending::RunFailed)),
+                (State::Stopping, RunEnd::Stopped) => self.change(id, State::Held),
+                (_, _) => self.change(id, State::Ended(Ending::CallerGone)),
+            }
+            self.place_calls();
+            self.run_held();
+        }
+        self.result()
+    }
+
+    pub fn told_to_leave(&mut self, now: f64, stopped_at: f64) -> Outcome {
+        self.pass_to(now);
+        self.leaving = Some((now + self.facts.grace_ms, stopped_at - STOP_MARGIN_MS));
+        let ids: Vec<u32> = self.invocations.keys().copied().collect();
+        for id in ids {
+            self.set_due(id);
+        }
+        self.out.words.fit = Some(false);
+        self.advise();
+        self.result()
+    }
+
+    pub fn woke(&mut self, now: f64, wake: Wake, gauges: Gauges) -> Outcome {
+        self.pass_to(now);
+        if let Some(busy) = gauges.cores_busy {
+            self.busy = busy;
+        }
+        if wake == Wake::Periodic {
+            self.out.words.wakes.push((PERIOD_MS, Wake::Periodic));
+            self.lingering.retain(|until| *until > now);
+            while self.remembered.first().is_some_and(|(until, _)| *until <= bits(now)) {
+                self.remembered.pop_first();
+            }
+            self.stop_spent();
+            self.advise();
+        } else if now + 0.01 >= self.woken_for {
+            // Superseded wakes come too: only the one that was waited for clears the way for the next.
+            self.woken_for = f64::MAX;
+        }
+        self.place_calls();
+        self.run_held();
+        self.result()
+    }
+
+    // ---- quotas -------------------------------------------------------------------------------------
+
+    /// Runs a core that are on the cores or wait for disk; those at a call have a bound of their own.
+    fn load(&self) -> f64 {
+        self.on_core as f64 / self.facts.cores
+    }
+
+    /// The soft and the hard quota, rising by even steps from cold to warm.
+    fn quotas(&self) -> (f64, f64) {
+        let facts = &self.facts;
+        let mut warmth = 1.0;
+        if facts.just_started && self.now - self.began < facts.warm_within_ms {
+            let step = ((self.now - self.began) / facts.warm_within_ms * WARM_STEPS).floor() / WARM_STEPS;
+            warmth = facts.cold_speed + (1.0 - facts.cold_speed) * step;
+        }
+        let survivable = 1.0 + (facts.tip_multiple - 1.0) * warmth;
+        let wanted = HARD_LEAST + (HARD_WARM - HARD_LEAST) * warmth;
+        let hard = wanted.min(HARD_OF_SURVIVABLE * survivable).max(1.0 + 1.0 / facts.cores);
+        (1.0 + SOFT_PART * (hard - 1.0), hard)
+    }
+
+    /// The part of an offering's arrivals that the stepped fraction lets in, lowest bucket of ranks cut first.
+    fn kept_of(&self, offering: usize, soft: f64, hard: f64, load: f64) -> f64 {
+        let divisor = (hard - soft) / f64::from(STEPS);
+        let threshold = ((hard - load) / divisor).floor().clamp(0.0, f64::from(STEPS));
+        let kept = threshold / f64::from(STEPS);
+        let bucket = self.offerings[offering].bucket;
+        let all: f64 = self.offerings.iter().map(|o| o.tally).sum();
+        let above: f64 = self.offerings.iter().filter(|o| o.bucket > bucket).map(|o| o.tally).sum();
+        let equal: f64 = self.offerings.iter().filter(|o| o.bucket == bucket).map(|o| o.tally).sum();
+        if equal <= 0.0 {
+            return kept;
+        }
+        ((kept * all - above) / equal).clamp(0.0, 1.0)
+    }
+
+    fn tenant_over_quota(&mut self, tenant: usize) -> bool {
+        let passed = self.now - self.tenant_time;
+        self.tenant_time = self.now;
+        let fade = 0.5f64.powf(passed / TALLY_HALF_MS);
+        self.tenants.iter_mut().for_each(|t| *t *= fade);
+        match (self.tenants.get(tenant), self.facts.tenant_quotas.get(tenant)) {
+            (Some(admitted), Some(quota)) => {
+                let per_s = admitted * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
+                per_s > quota / self.facts.servers
+            }
+            _ => false,
+        }
+    }
+
+    fn memory_allows(&self, id: u32) -> bool {
+        let footprint = self.invocations[&id].footprint_kb;
+        let entry = if self.remembers(id) { self.facts.entry_kb } else { 0.0 };
+        let entries = self.remembered.len() as f64 * self.facts.entry_kb;
+        let more = footprint * (self.facts.run_factor - 1.0) + entry;
+        self.memory_kb + entries + more <= MEMORY_RUN * self.facts.memory_kb
+    }
+
+    // ---- time and work ------------------------------------------------------------------------------
+
+    /// What a run begun now would take, by what runs of its kind have taken here and by the present crowd.
+    fn foreseen_ms(&self, offering: usize, hint: Option<f64>) -> f64 {
+        let row = &self.offerings[offering];
+        if row.runs < 1.0 {
+            return 0.0;
+        }
+        let core_ms = match hint {
+            Some(hint) if row.hinted_ms > 0.0 => hint * row.core_ms / row.hinted_ms,
+            _ => row.core_ms / row.runs,
+        };
+        core_ms * ((self.on_core as f64 + 1.0) / self.facts.cores).max(1.0)
+    }
+
+    fn pass_to(&mut self, now: f64) {
+        let passed = (now - self.now).max(0.0);
+        self.now = now;
+        if passed > 0.0 {
+            self.core_clock += passed * (self.facts.cores / (self.on_core.max(1) as f64)).min(1.0);
+            let in_hand = (self.calls_out + self.lingering.len()) as f64;
+            let weight = (passed / self.facts.call_span_ms.max(1.0)).min(1.0);
+            self.calls_mean += (in_hand - self.calls_mean) * weight;
+        }
+        while let Some(&(time, id)) = self.due.first() {
+            if time > bits(now) {
+                break;
+            }
+            self.due.pop_first();
+            self.give_up(id);
+        }
+    }
+
+    /// Takes an arrival into the hold; returns how much of its contract time is left.
+    fn take_in(&mut self, arrival: &Arrival) -> f64 {
+        let fade = 0.5f64.powf((self.now - self.tally_time) / TALLY_HALF_MS);
+        self.tally_time = self.now;
+        self.offerings.iter_mut().for_each(|o| o.tally *= fade);
+        let row = &mut self.offerings[arrival.offering];
+        row.tally += 1.0;
+        let arrived = self.now - arrival.unread_ms;
+        let answer_by = arrival.gives_up_at.unwrap_or((arrived + row.hard_limit_ms).max(self.now));
+        // A caller that waits less than others of its kind has waited before: its contract time began earlier.
+        let patience = answer_by - arrived;
+        row.patience_ms = row.patience_ms.max(patience.min(row.hard_limit_ms));
+        let waited = if patience < row.patience_ms - 50.0 { row.hard_limit_ms - patience } else { 0.0 };
+        let contract_end = arrived + row.contract_ms - waited;
+        let gives_up = if row.late_counts { answer_by } else { contract_end.min(answer_by) };
+        let rerunnable = row.repeats == Repeats::Rerunnable;
+        let invocation = Invocation {
+            state: State::Held,
+            offering: arrival.offering,
+            footprint_kb: arrival.footprint_kb,
+            hint_ms: arrival.work_hint_ms,
+            arrived,
+            answer_by,
+            give_up_at: if rerunnable { gives_up.max(self.now) } else { answer_by },
+            due: 0.0,
+            ran: false,
+            core_ms: 0.0,
+            core_clock: 0.0,
+        };
+        self.memory_kb += invocation.footprint_kb;
+        self.invocations.insert(arrival.id, invocation);
+        self.out.changes.push(Change { id: arrival.id, from: None, to: State::Held, remember_ms: None });
+        self.set_due(arrival.id);
+        gives_up - self.now
+    }
+
+    fn row(&self, id: u32) -> &Offering {
+        &self.offerings[self.invocations[&id].offering]
+    }
+
+    fn set_due(&mut self, id: u32) {
+        let Some(invocation) = self.invocations.get_mut(&id) else { return };
+        self.due.remove(&(bits(invocation.due), id));
+        if matches!(invocation.state, State::Spent { .. }) {
+            return;
+        }
+        let stop = self.leaving.map_or(f64::MAX, |(_, stop)| stop);
+        invocation.due = invocation.give_up_at.min(invocation.answer_by).min(stop).max(self.now);
+        self.due.insert((bits(invocation.due), id));
+    }
+
+    fn remembers(&self, id: u32) -> bool {
+        self.row(id).repeats == Repeats::Ticketed
+    }
+
+    /// A ticketed invocation is remembered through its window before anything of it runs; so is a read whose
+    /// answer may serve others.
+    fn remember(&mut self, id: u32, arrival: &Arrival) {
+        let shares = self.facts.share_answers_ms > 0.0
+            && arrival.key != 0
+            && !arrival.writes
+            && self.row(id).repeats == Repeats::Rerunnable;
+        let span = if self.remembers(id) {
+            self.row(id).window_ms
+        } else if shares && self.memory_kb < 0.5 * self.facts.memory_kb {
+            self.row(id).contract_ms + self.facts.share_answers_ms
+        } else {
+            return;
+        };
+        self.remembered.insert((bits(self.now + span), id));
+        self.out.changes.push(Change {
+            id,
+            from: Some(State::Held),
+            to: State::Held,
+            remember_ms: Some(span),
+        });
+    }
+
+    // ---- runs and calls -----------------------------------------------------------------------------
+
+    /// Starts what is held, the most revenue first, then the earliest due; what can't make it is dismissed.
+    fn run_held(&mut self) {
+        loop {
+            let (_, hard) = self.quotas();
+            let at_call_most = self.facts.cores * (hard * 0.5).max(1.0);
+            if self.load() >= hard || self.at_call as f64 >= at_call_most {
+                return;
+            }
+            let held =
+                self.invocations.iter().filter(|(_, i)| matches!(i.state, State::Held | State::Paused));
+            let best = held.max_by(|(_, a), (_, b)| {
+                let revenue = |i: &Invocation| self.offerings[i.offering].revenue;
+                revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
+            });
+            let Some((&id, _)) = best else { return };
+            if self.invocations[&id].state == State::Held && !self.memory_allows(id) {
+                return;
+            }
+            self.change(id, State::Running);
+        }
+    }
+
+    fn place_calls(&mut self) {
+        loop {
+            let in_hand = (self.calls_out + self.lingering.len()) as f64;
+            if let Some(share) = self.facts.call_share {
+                let most = (CALLS_OF_SHARE * share).max(1.0);
+                if in_hand + 1.0 > most || (share < 1.0 && self.calls_mean > CALLS_OF_SHARE * share) {
+                    return;
+                }
+            }
+            let waiting = self.invocations.iter().filter(|(_, i)| i.state == State::AtCall);
+            let best = waiting.max_by(|(_, a), (_, b)| {
+                let revenue = |i: &Invocation| self.offerings[i.offering].revenue;
+                revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
+            });
+            let Some((&id, invocation)) = best else { return };
+            let within_ms = (invocation.due - self.now).max(1.0);
+            self.change(id, State::Calling { within_ms });
+        }
+    }
+
+    /// Nothing more is hoped for: the answer goes out at once.
+    fn give_up(&mut self, id: u32) {
+        let Some(invocation) = self.invocations.get(&id) else { return };
+        let ran = invocation.ran;
+        if invocation.state == State::Joined || (ran && self.row(id).repeats != Repeats::Rerunnable) {
+            self.finish(id, Ending::Scrapped);
+        } else {
+            self.dismiss(id, self.facts.cool_down_most_ms, false);
+        }
+    }
+
+    fn dismiss(&mut self, id: u32, cool_down_ms: f64, elsewhere_helps: bool) {
+        let cool_down_ms = cool_down_ms.min(self.facts.cool_down_most_ms);
+        self.finish(id, Ending::Dismissed { cool_down_ms, elsewhere_helps });
+    }
+
+    /// Gives the final answer; work of it that still runs is stopped where it may be.
+    fn finish(&mut self, id: u32, ending: Ending) {
+        let rerunnable = self.row(id).repeats == Repeats::Rerunnable;
+        let answered = |stop| State::Spent { ending, stop };
+        match self.invocations[&id].state {
+            State::Spent { .. } | State::Ended(_) => {}
+            State::Held | State::Joined | State::Paused => self.change(id, State::Ended(ending)),
+            State::Running => self.change(id, answered(rerunnable)),
+            State::AtCall | State::Calling { .. } | State::Stopping => self.change(id, answered(false)),
+        }
+    }
+
+    /// Work that was told to stop while the cores stood still is told again.
+    fn stop_spent(&mut self) {
+        let again = |i: &Invocation| matches!(i.state, State::Spent { stop: true, .. });
+        let ids: Vec<u32> = self.invocations.iter().filter(|(_, i)| again(i)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.change(id, self.invocations[&id].state);
+        }
+    }
+
+    // ---- what callers are told ----------------------------------------------------------------------
+
+    fn advise(&mut self) {
+        let (soft, hard) = self.quotas();
+        let load = self.load();
+        let busy = self.busy >= GATE_BUSY;
+        let part = if busy { ((hard - load) / (hard - soft)).clamp(0.0, 1.0) } else { 1.0 };
+        let gone = self.leaving.is_some();
+        let level = match self.facts.advice {
+            AdviceMeaning::Nothing => return,
+            AdviceMeaning::LowestRank if gone => 1.0,
+            AdviceMeaning::LowestRank => {
+                let kept = |o: &Offering| o.ranks_from + (1.0 - self.kept_of_part(o, part)) * 0.5;
+                let cut = self.offerings.iter().filter(|o| self.kept_of_part(o, part) <= 0.0);
+                let _ = kept;
+                cut.map(|o| o.ranks_to).fold(0.0, f64::max)
+            }
+            AdviceMeaning::OutstandingPerCaller if gone => 0.0,
+            AdviceMeaning::OutstandingPerCaller => self.facts.cores * hard / self.facts.callers,
+            AdviceMeaning::ShareOfUsual if gone => 0.0,
+            AdviceMeaning::ShareOfUsual => 0.1 + 0.9 * part,
+        };
+        if (level - self.advised).abs() > 0.02 {
+            self.advised = level;
+            self.out.words.advice = Some(level);
+        }
+    }
+
+    fn kept_of_part(&self, offering: &Offering, part: f64) -> f64 {
+        let all: f64 = self.offerings.iter().map(|o| o.tally).sum();
+        let above: f64 = self.offerings.iter().filter(|o| o.bucket > offering.bucket).map(|o| o.tally).sum();
+        if part * all > above || all <= 0.0 {
+            1.0
+        } else {
+            0.0
+        }
+    }
+
+    // ---- the one place where states change ----------------------------------------------------------
+
+    fn change(&mut self, id: u32, to: State) {
+        let Some(invocation) = self.invocations.get_mut(&id) else { return };
+        let from = invocation.state;
+        let runs = |s: State| matches!(s, State::Running | State::Stopping | State::Spent { .. });
+        let calls = |s: State| matches!(s, State::AtCall | State::Calling { .. });
+        let heavy = |s: State| runs(s) || calls(s) || s == State::Paused;
+        if runs(from) {
+            invocation.core_ms += self.core_clock - invocation.core_clock;
+        }
+        invocation.core_clock = self.core_clock;
+        self.on_core = self.on_core + usize::from(runs(to)) - usize::from(runs(from));
+        self.at_call = self.at_call + usize::from(calls(to)) - usize::from(calls(from));
+        let out = |s: State| usize::from(matches!(s, State::Calling { .. }));
+        self.calls_out = self.calls_out + out(to) - out(from);
+        if out(from) > out(to) && matches!(to, State::Spent { .. }) {
+            self.lingering.push(self.now + self.facts.call_linger_ms);
+        }
+        let weight = |s: State| match s {
+            State::Ended(_) => 0.0,
+            s if heavy(s) => self.facts.run_factor,
+            _ => 1.0,
+        };
+        self.memory_kb += (weight(to) - weight(from)) * invocation.footprint_kb;
+        invocation.state = to;
+        invocation.ran |= to == State::Running;
+        if matches!(to, State::Ended(Ending::Succeeded)) {
+            let row = &mut self.offerings[invocation.offering];
+            let keep = 1.0 - 1.0 / 20.0;
+            row.runs = row.runs * keep + 1.0;
+            row.core_ms = row.core_ms * keep + invocation.core_ms;
+            row.hinted_ms = row.hinted_ms * keep + invocation.hint_ms.unwrap_or(0.0);
+        }
+        self.out.changes.push(Change { id, from: Some(from), to, remember_ms: None });
+        match to {
+            State::Ended(_) => {
+                self.due.remove(&(bits(invocation.due), id));
+                self.invocations.remove(&id);
+            }
+            State::Spent { .. } => {
+                self.due.remove(&(bits(invocation.due), id));
+            }
+            _ => {}
+        }
+    }
+
+    fn result(&mut self) -> Outcome {
+        if let Some(&(time, _)) = self.due.first() {
+            let at = f64::from_bits(time);
+            if at < self.woken_for {
+                self.woken_for = at;
+                self.out.words.wakes.push(((at - self.now).max(0.001), Wake::Due));
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+}
