--- a/crates/plovershelf-wirehost/src/facts.rs
+++ b/crates/plovershelf-wirehost/src/facts.rs
@@ -81,6 +81,7 @@
         },
         servers: number(&top, "group_size", 1.0).max(1.0),
         callers: number(own, "senders", 1.0).max(1.0),
+        repeats_marked: flag(&top["clients"], "marks_retry"),
         just_started: flag(own, "just_started"),
         cold_speed: number(rules, "cold_from", 1.0),
         warm_within_ms: number(rules, "warm_within_ms", 0.0),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,8 @@
     pub advice: AdviceMeaning,
     pub servers: f64,
     pub callers: f64,
+    /// Later tries are marked as such.
+    pub repeats_marked: bool,
     pub just_started: bool,
     pub cold_speed: f64,
     pub warm_within_ms: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,9 @@
 const PERIOD_MS: f64 = 100.0;
 /// A run is not begun when this part of its foreseen time is more than what is left.
 const FORESEEN_PART: f64 = 0.7;
+/// Waits nearer than this are one and the same; votes that a usual wait collects at most.
+const SAME_WAIT_MS: f64 = 25.0;
+const USUAL_VOTES: i32 = 40;
 /// Memory that runs, and that all held, may take; the rest is for what is being read.
 const MEMORY_RUN: f64 = 0.80;
 const MEMORY_HOLD: f64 = 0.90;
@@ -70,8 +73,6 @@
     runs: f64,
     core_ms: f64,
     hinted_ms: f64,
-    /// Most time that a caller has been seen to wait; one that waits less has waited before.
-    patience_ms: f64,
     counter: u32,
     tally: f64,
 }
@@ -114,6 +115,8 @@
     /// Advances by the core time that each run on a core gets.
     core_clock: f64,
     busy: f64,
+    /// The wait that is usual with a caller's tries of an offering, and the votes for it.
+    usual_waits: BTreeMap<(u32, usize), (f64, i32)>,
     tenants: Vec<f64>,
     tenant_time: f64,
     tally_time: f64,
@@ -150,7 +153,6 @@
                 runs: 0.0,
                 core_ms: 0.0,
                 hinted_ms: 0.0,
-                patience_ms: 0.0,
                 counter: 0,
                 tally: 0.0,
             }
@@ -173,6 +175,7 @@
             remembered: BTreeSet::new(),
             core_clock: 0.0,
             busy: 1.0,
+            usual_waits: BTreeMap::new(),
             tenants: vec![0.0; facts.tenant_quotas.len()],
             tenant_time: now,
             tally_time: now,
@@ -431,10 +434,14 @@
         row.tally += 1.0;
         let arrived = self.now - arrival.unread_ms;
         let answer_by = arrival.gives_up_at.unwrap_or((arrived + row.hard_limit_ms).max(self.now));
-        // A caller that waits less than others of its kind has waited before: its contract time began earlier.
         let patience = answer_by - arrived;
-        row.patience_ms = row.patience_ms.max(patience.min(row.hard_limit_ms));
-        let waited = if patience < row.patience_ms - 50.0 { row.hard_limit_ms - patience } else { 0.0 };
+        let waited = match arrival.gives_up_at {
+            Some(_) if arrival.marked_repeat || !self.facts.repeats_marked => {
+                self.waited_before(arrival.caller, arrival.offering, patience)
+            }
+            _ => 0.0,
+        };
+        let row = &self.offerings[arrival.offering];
         let contract_end = arrived + row.contract_ms - waited;
         let gives_up = if row.late_counts { answer_by } else { contract_end.min(answer_by) };
         let rerunnable = row.repeats == Repeats::Rerunnable;
@@ -458,6 +465,27 @@
         gives_up - self.now
     }
 
+    /// Further tries are not always marked, but a caller's wait gives many away: first tries of one caller come
+    /// with one usual wait, and a try that waits for another span is bounded by what is left of the client's
+    /// hard limit, which tells its age. Guards against work for clients whose contract time is over (retry
+    /// storms, callers restarting); harms where a caller's first waits vary by themselves.
+    fn waited_before(&mut self, caller: u32, offering: usize, patience: f64) -> f64 {
+        let limit = self.offerings[offering].hard_limit_ms;
+        let usual = self.usual_waits.entry((caller, offering)).or_insert((patience, 0));
+        if (patience - usual.0).abs() < SAME_WAIT_MS {
+            usual.1 = (usual.1 + 1).min(USUAL_VOTES);
+            return 0.0;
+        }
+        usual.1 -= 1;
+        if usual.1 < 0 {
+            *usual = (patience, 1);
+        }
+        if usual.1 < USUAL_VOTES / 4 {
+            return 0.0;
+        }
+        (limit - patience).max(0.0)
+    }
+
     fn row(&self, id: u32) -> &Offering {
         &self.offerings[self.invocations[&id].offering]
     }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -27,6 +27,7 @@
         advice: AdviceMeaning::LowestRank,
         servers: 4.0,
         callers: 2.0,
+        repeats_marked: false,
         just_started: false,
         cold_speed: 0.2,
         warm_within_ms: 10_000.0,
