Bound calls in hand by how they fare, pace the hard quota by measured runs

Calls now pause after failures and shrink when slow; those standing at calls cut arrivals as load does.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,9 +11,11 @@
 
 /// Even steps between the soft and the hard quota; also the cycle of the counter.
 const STEPS: u32 = 20;
-/// The hard quota of a warm backend, in runs a core; never over HARD_OF_SURVIVABLE of what it survives.
-const HARD_WARM: f64 = 3.0;
-const HARD_OF_SURVIVABLE: f64 = 0.7;
+/// The hard quota of a warm backend, in runs a core, lets a mean run end within this part of its contract
+/// time; never over HARD_OF_SURVIVABLE of the crowd that it survives. HARD_FIRST serves before any run ended.
+const PACE: f64 = 0.6;
+const HARD_FIRST: f64 = 2.5;
+const HARD_OF_SURVIVABLE: f64 = 0.5;
 /// The least hard quota, and how far between one a core and the hard quota the soft quota lies.
 const HARD_LEAST: f64 = 1.35;
 const SOFT_PART: f64 = 0.25;
@@ -29,9 +31,8 @@
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
-/// Memory that runs, and that all held, may take; the rest is for what is being read.
+/// Memory that runs may fill; the rest is for what is being read.
 const MEMORY_RUN: f64 = 0.80;
-const MEMORY_HOLD: f64 = 0.90;
 /// Before the process is stopped, all is answered so long ahead.
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told with a dismissal at the hard quota and in the soft band.
@@ -39,6 +40,21 @@
 const COOL_SOFT_MS: f64 = 0.0;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
+/// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
+const CALL_SLOW: f64 = 3.0;
+const CALL_SHRINK_SLOW: f64 = 0.95;
+const CALL_SHRINK_FAILED: f64 = 0.7;
+/// After a failed call none is placed for this long, doubling while they go on failing.
+const CALL_PAUSE_MS: f64 = 20.0;
+const CALL_PAUSE_MOST_MS: f64 = 640.0;
+/// Invocations a core that may stand at calls, and from where arrivals are cut for it.
+const AT_CALL_HARD: f64 = 1.5;
+const AT_CALL_SOFT: f64 = 0.5;
+/// Weight of a period's reading in smoothed gauges; steps of the advised share down and up.
+const SMOOTH: f64 = 0.15;
+const SHARE_DOWN: f64 = 0.1;
+const SHARE_UP: f64 = 0.01;
+const SHARE_LEAST: f64 = 0.1;
 
 struct Pcg(u64);
 
@@ -62,12 +78,9 @@
     repeats: Repeats,
     revenue: f64,
     late_counts: bool,
-    may_skip: bool,
-    may_call: bool,
     /// Its bucket of ranks: offerings of equal revenue share one, the lowest revenue comes first.
     bucket: usize,
-    /// Slices of rank below its bucket, and in it.
-    ranks_from: f64,
+    /// Where the ranks of its bucket end.
     ranks_to: f64,
     /// Decaying sums over ended runs: their number, core time, hinted work.
     runs: f64,
@@ -82,13 +95,13 @@
     offering: usize,
     footprint_kb: f64,
     hint_ms: Option<f64>,
-    arrived: f64,
     /// When its final answer is due, and when it is given up.
     answer_by: f64,
     give_up_at: f64,
     due: f64,
     /// It ran, or may have.
     ran: bool,
+    call_began: f64,
     /// Core time had so far, and the backend's core clock when that was last brought up to date.
     core_ms: f64,
     core_clock: f64,
@@ -97,7 +110,6 @@
 pub struct Backend {
     facts: StartFacts,
     offerings: Vec<Offering>,
-    buckets: usize,
     invocations: BTreeMap<u32, Invocation>,
     /// All due times but the periodic one: (bits of the time, id).
     due: BTreeSet<(u64, u32)>,
@@ -110,11 +122,20 @@
     calls_out: usize,
     lingering: Vec<f64>,
     calls_mean: f64,
+    /// Calls in hand allowed now, the quickest call of late, and the pause after failures.
+    calls_most: f64,
+    call_quick_ms: f64,
+    call_pause_ms: f64,
+    calls_after: f64,
     memory_kb: f64,
     remembered: BTreeSet<(u64, u32)>,
     /// Advances by the core time that each run on a core gets.
     core_clock: f64,
     busy: f64,
+    /// Smoothed: part of the runs that want a core, and part of arrivals let in.
+    awake: f64,
+    ease: f64,
+    share: f64,
     /// The wait that is usual with a caller's tries of an offering, and the votes for it.
     usual_waits: BTreeMap<(u32, usize), (f64, i32)>,
     tenants: Vec<f64>,
@@ -136,7 +157,6 @@
         values.dedup();
         let all = facts.offerings.len() as f64;
         let offerings = facts.offerings.iter().map(|o| {
-            let below = facts.offerings.iter().filter(|p| p.revenue < o.revenue).count() as f64;
             let upto = facts.offerings.iter().filter(|p| p.revenue <= o.revenue).count() as f64;
             Offering {
                 contract_ms: o.contract_ms.min(o.hard_limit_ms),
@@ -145,10 +165,7 @@
                 repeats: o.repeats,
                 revenue: o.revenue,
                 late_counts: o.late_share > 0.0,
-                may_skip: o.skip_share > 0.0,
-                may_call: o.may_call,
                 bucket: values.iter().position(|v| *v == o.revenue).unwrap_or(0),
-                ranks_from: below / all,
                 ranks_to: upto / all,
                 runs: 0.0,
                 core_ms: 0.0,
@@ -159,7 +176,6 @@
         });
         let mut backend = Backend {
             offerings: offerings.collect(),
-            buckets: values.len(),
             invocations: BTreeMap::new(),
             due: BTreeSet::new(),
             woken_for: f64::MAX,
@@ -171,10 +187,17 @@
             calls_out: 0,
             lingering: Vec::new(),
             calls_mean: 0.0,
+            calls_most: facts.call_share.map_or(f64::MAX, |share| (CALLS_OF_SHARE * share).max(1.0)),
+            call_quick_ms: f64::MAX,
+            call_pause_ms: CALL_PAUSE_MS,
+            calls_after: now,
             memory_kb: 0.0,
             remembered: BTreeSet::new(),
             core_clock: 0.0,
             busy: 1.0,
+            awake: 1.0,
+            ease: 1.0,
+            share: 1.0,
             usual_waits: BTreeMap::new(),
             tenants: vec![0.0; facts.tenant_quotas.len()],
             tenant_time: now,
@@ -210,17 +233,16 @@
             self.dismiss(id, self.facts.cool_down_most_ms, true);
             return self.result();
         }
-        let (soft, hard) = self.quotas();
-        let load = self.load();
         // At the hard quota every arrival is refused.
-        if load >= hard || !self.memory_allows(id) {
+        let part = self.part_let_in();
+        if part <= 0.0 || !self.memory_allows(id) {
             self.dismiss(id, COOL_HARD_MS, true);
             return self.result();
         }
         // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
         let over_quota = self.tenant_over_quota(arrival.tenant);
-        if load > soft && self.busy >= GATE_BUSY {
-            let kept = self.kept_of(arrival.offering, soft, hard, load);
+        if part < 1.0 {
+            let kept = self.kept_of(arrival.offering, part);
             let row = &mut self.offerings[arrival.offering];
             row.counter = (row.counter + 1) % STEPS;
             if over_quota || f64::from(row.counter) >= kept * f64::from(STEPS) {
@@ -264,14 +286,10 @@
         self.pass_to(now);
         if let Some(State::Calling { .. }) = self.invocations.get(&id).map(|i| i.state) {
             let rerunnable = self.row(id).repeats == Repeats::Rerunnable;
-            match end {
-                CallEnd::Ok => self.change(id, State::Running),
-                CallEnd::ProvenNotRun => self.change(id, State::AtCall),
-                _ if rerunnable => self.change(id, State::AtCall),
-                _ => {
-                    self.change(id, State::AtCall);
-                    self.give_up(id);
-                }
+            self.learn_call(now - self.invocations[&id].call_began, end);
+            self.change(id, if end == CallEnd::Ok { State::Running } else { State::AtCall });
+            if !rerunnable && !matches!(end, CallEnd::Ok | CallEnd::ProvenNotRun) {
+                self.give_up(id);
             }
             if end == CallEnd::GivenUp {
                 self.lingering.push(now + self.facts.call_linger_ms);
@@ -324,6 +342,12 @@
                 self.remembered.pop_first();
             }
             self.stop_spent();
+            if let (Some(wanting), true) = (gauges.wanting_core, self.on_core > 0) {
+                let awake = (wanting / self.on_core as f64).min(1.0);
+                self.awake += SMOOTH * (awake - self.awake);
+            }
+            self.ease += SMOOTH * (self.part_let_in() - self.ease);
+            self.call_quick_ms *= 1.005;
             self.advise();
         } else if now + 0.01 >= self.woken_for {
             // Superseded wakes come too: only the one that was waited for clears the way for the next.
@@ -350,24 +374,45 @@
             warmth = facts.cold_speed + (1.0 - facts.cold_speed) * step;
         }
         let survivable = 1.0 + (facts.tip_multiple - 1.0) * warmth;
-        let wanted = HARD_LEAST + (HARD_WARM - HARD_LEAST) * warmth;
+        let paced = self.paced_crowd().unwrap_or(HARD_FIRST).max(HARD_LEAST);
+        let wanted = HARD_LEAST + (paced - HARD_LEAST) * warmth;
         let hard = wanted.min(HARD_OF_SURVIVABLE * survivable).max(1.0 + 1.0 / facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
 
-    /// The part of an offering's arrivals that the stepped fraction lets in, lowest bucket of ranks cut first.
-    fn kept_of(&self, offering: usize, soft: f64, hard: f64, load: f64) -> f64 {
-        let divisor = (hard - soft) / f64::from(STEPS);
-        let threshold = ((hard - load) / divisor).floor().clamp(0.0, f64::from(STEPS));
-        let kept = threshold / f64::from(STEPS);
+    /// The crowd in which a mean run still ends in good time, by what runs here have taken.
+    fn paced_crowd(&self) -> Option<f64> {
+        let known = || self.offerings.iter().filter(|o| o.runs >= 3.0);
+        let weight: f64 = known().map(|o| o.tally).sum();
+        let crowd: f64 = known().map(|o| o.tally * PACE * o.contract_ms * o.runs / o.core_ms.max(1.0)).sum();
+        (weight > 0.0).then(|| crowd / weight)
+    }
+
+    /// The part of arrivals let in: by even steps from all at the soft quota to none at the hard one. The
+    /// busy-core gate opens the soft band; those at calls are bounded the same way, without the gate.
+    fn part_let_in(&self) -> f64 {
+        let steps = f64::from(STEPS);
+        let stepped = |soft: f64, hard: f64, load: f64| {
+            ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
+        };
+        let (soft, hard) = self.quotas();
+        let mut part = stepped(soft, hard, self.load());
+        if part > 0.0 && self.busy < GATE_BUSY {
+            part = 1.0;
+        }
+        part.min(stepped(AT_CALL_SOFT, AT_CALL_HARD, self.at_call as f64 / self.facts.cores))
+    }
+
+    /// The part of an offering's arrivals that stays of it, the lowest bucket of ranks cut first.
+    fn kept_of(&self, offering: usize, part: f64) -> f64 {
         let bucket = self.offerings[offering].bucket;
         let all: f64 = self.offerings.iter().map(|o| o.tally).sum();
         let above: f64 = self.offerings.iter().filter(|o| o.bucket > bucket).map(|o| o.tally).sum();
         let equal: f64 = self.offerings.iter().filter(|o| o.bucket == bucket).map(|o| o.tally).sum();
         if equal <= 0.0 {
-            return kept;
+            return part;
         }
-        ((kept * all - above) / equal).clamp(0.0, 1.0)
+        ((part * all - above) / equal).clamp(0.0, 1.0)
     }
 
     fn tenant_over_quota(&mut self, tenant: usize) -> bool {
@@ -411,7 +456,7 @@
         let passed = (now - self.now).max(0.0);
         self.now = now;
         if passed > 0.0 {
-            self.core_clock += passed * (self.facts.cores / (self.on_core.max(1) as f64)).min(1.0);
+            self.core_clock += passed * (self.facts.cores / (self.on_core.max(1) as f64)).min(self.awake);
             let in_hand = (self.calls_out + self.lingering.len()) as f64;
             let weight = (passed / self.facts.call_span_ms.max(1.0)).min(1.0);
             self.calls_mean += (in_hand - self.calls_mean) * weight;
@@ -450,11 +495,11 @@
             offering: arrival.offering,
             footprint_kb: arrival.footprint_kb,
             hint_ms: arrival.work_hint_ms,
-            arrived,
             answer_by,
             give_up_at: if rerunnable { gives_up.max(self.now) } else { answer_by },
             due: 0.0,
             ran: false,
+            call_began: 0.0,
             core_ms: 0.0,
             core_clock: 0.0,
         };
@@ -534,7 +579,7 @@
     fn run_held(&mut self) {
         loop {
             let (_, hard) = self.quotas();
-            let at_call_most = self.facts.cores * (hard * 0.5).max(1.0);
+            let at_call_most = self.facts.cores * AT_CALL_HARD;
             if self.load() >= hard || self.at_call as f64 >= at_call_most {
                 return;
             }
@@ -555,11 +600,10 @@
     fn place_calls(&mut self) {
         loop {
             let in_hand = (self.calls_out + self.lingering.len()) as f64;
-            if let Some(share) = self.facts.call_share {
-                let most = (CALLS_OF_SHARE * share).max(1.0);
-                if in_hand + 1.0 > most || (share < 1.0 && self.calls_mean > CALLS_OF_SHARE * share) {
-                    return;
-                }
+            let share = self.facts.call_share.unwrap_or(f64::MAX);
+            let spent = share < 1.0 && self.calls_mean > CALLS_OF_SHARE * share;
+            if in_hand + 1.0 > self.calls_most || spent || self.now < self.calls_after {
+                return;
             }
             let waiting = self.invocations.iter().filter(|(_, i)| i.state == State::AtCall);
             let best = waiting.max_by(|(_, a), (_, b)| {
@@ -572,6 +616,28 @@
         }
     }
 
+    /// Keeps calls in hand near what lies below takes without crowding, by how long they take and whether they
+    /// fail. Guards against a dependency that slows down, turns away or is gone: without the pause its instant
+    /// refusals are repeated without end. Harms where calls differ much in length by themselves.
+    fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
+        let most = self.facts.call_share.map_or(f64::MAX, |share| (CALLS_OF_SHARE * share).max(1.0));
+        if end != CallEnd::Ok {
+            self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(1.0);
+            if self.now >= self.calls_after {
+                self.calls_after = self.now + self.call_pause_ms;
+                self.call_pause_ms = (2.0 * self.call_pause_ms).min(CALL_PAUSE_MOST_MS);
+            }
+            return;
+        }
+        self.call_pause_ms = CALL_PAUSE_MS;
+        self.call_quick_ms = self.call_quick_ms.min(took_ms);
+        if took_ms > CALL_SLOW * self.call_quick_ms {
+            self.calls_most = (self.calls_most * CALL_SHRINK_SLOW).max(1.0);
+        } else {
+            self.calls_most = (self.calls_most + 1.0 / self.calls_most).min(most);
+        }
+    }
+
     /// Nothing more is hoped for: the answer goes out at once.
     fn give_up(&mut self, id: u32) {
         let Some(invocation) = self.invocations.get(&id) else { return };
@@ -612,24 +678,23 @@
     // ---- what callers are told ----------------------------------------------------------------------
 
     fn advise(&mut self) {
-        let (soft, hard) = self.quotas();
-        let load = self.load();
-        let busy = self.busy >= GATE_BUSY;
-        let part = if busy { ((hard - load) / (hard - soft)).clamp(0.0, 1.0) } else { 1.0 };
         let gone = self.leaving.is_some();
+        if self.ease < 1.0 - 1.0 / f64::from(STEPS) {
+            self.share = (self.share * (1.0 - SHARE_DOWN * (1.0 - self.ease))).max(SHARE_LEAST);
+        } else {
+            self.share = (self.share + SHARE_UP).min(1.0);
+        }
         let level = match self.facts.advice {
             AdviceMeaning::Nothing => return,
             AdviceMeaning::LowestRank if gone => 1.0,
             AdviceMeaning::LowestRank => {
-                let kept = |o: &Offering| o.ranks_from + (1.0 - self.kept_of_part(o, part)) * 0.5;
-                let cut = self.offerings.iter().filter(|o| self.kept_of_part(o, part) <= 0.0);
-                let _ = kept;
-                cut.map(|o| o.ranks_to).fold(0.0, f64::max)
+                let cut = (0..self.offerings.len()).filter(|o| self.kept_of(*o, self.ease) <= 0.0);
+                cut.map(|o| self.offerings[o].ranks_to).fold(0.0, f64::max)
             }
             AdviceMeaning::OutstandingPerCaller if gone => 0.0,
-            AdviceMeaning::OutstandingPerCaller => self.facts.cores * hard / self.facts.callers,
+            AdviceMeaning::OutstandingPerCaller => self.facts.cores * self.quotas().1 / self.facts.callers,
             AdviceMeaning::ShareOfUsual if gone => 0.0,
-            AdviceMeaning::ShareOfUsual => 0.1 + 0.9 * part,
+            AdviceMeaning::ShareOfUsual => self.share,
         };
         if (level - self.advised).abs() > 0.02 {
             self.advised = level;
@@ -637,16 +702,6 @@
         }
     }
 
-    fn kept_of_part(&self, offering: &Offering, part: f64) -> f64 {
-        let all: f64 = self.offerings.iter().map(|o| o.tally).sum();
-        let above: f64 = self.offerings.iter().filter(|o| o.bucket > offering.bucket).map(|o| o.tally).sum();
-        if part * all > above || all <= 0.0 {
-            1.0
-        } else {
-            0.0
-        }
-    }
-
     // ---- the one place where states change ----------------------------------------------------------
 
     fn change(&mut self, id: u32, to: State) {
@@ -674,6 +729,9 @@
         self.memory_kb += (weight(to) - weight(from)) * invocation.footprint_kb;
         invocation.state = to;
         invocation.ran |= to == State::Running;
+        if matches!(to, State::Calling { .. }) {
+            invocation.call_began = self.now;
+        }
         if matches!(to, State::Ended(Ending::Succeeded)) {
             let row = &mut self.offerings[invocation.offering];
             let keep = 1.0 - 1.0 / 20.0;
