--- a/src/logic.rs
+++ b/src/logic.rs
@@ -86,7 +86,6 @@
     runs: f64,
     core_ms: f64,
     hinted_ms: f64,
-    counter: u32,
     tally: f64,
 }
 
@@ -138,6 +137,9 @@
     share: f64,
     /// The wait that is usual with a caller's tries of an offering, and the votes for it.
     usual_waits: BTreeMap<(u32, usize), (f64, i32)>,
+    /// Decaying tally of arrivals, and the cycling counter, for each place in the order of cuts.
+    tallies: Vec<f64>,
+    counters: Vec<u32>,
     tenants: Vec<f64>,
     tenant_time: f64,
     tally_time: f64,
@@ -170,7 +172,6 @@
                 runs: 0.0,
                 core_ms: 0.0,
                 hinted_ms: 0.0,
-                counter: 0,
                 tally: 0.0,
             }
         });
@@ -199,6 +200,8 @@
             ease: 1.0,
             share: 1.0,
             usual_waits: BTreeMap::new(),
+            tallies: vec![0.0; 2 * values.len()],
+            counters: vec![0; 2 * values.len()],
             tenants: vec![0.0; facts.tenant_quotas.len()],
             tenant_time: now,
             tally_time: now,
@@ -241,11 +244,12 @@
         }
         // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
         let over_quota = self.tenant_over_quota(arrival.tenant);
+        let place = self.place_in_order(arrival.offering, over_quota);
+        self.tallies[place] += 1.0;
         if part < 1.0 {
-            let kept = self.kept_of(arrival.offering, part);
-            let row = &mut self.offerings[arrival.offering];
-            row.counter = (row.counter + 1) % STEPS;
-            if over_quota || f64::from(row.counter) >= kept * f64::from(STEPS) {
+            let kept = self.kept_of(place, part);
+            self.counters[place] = (self.counters[place] + 1) % STEPS;
+            if f64::from(self.counters[place]) >= kept * f64::from(STEPS) {
                 self.dismiss(id, COOL_SOFT_MS, true);
                 return self.result();
             }
@@ -403,16 +407,24 @@
         part.min(stepped(AT_CALL_SOFT, AT_CALL_HARD, self.at_call as f64 / self.facts.cores))
     }
 
-    /// The part of an offering's arrivals that stays of it, the lowest bucket of ranks cut first.
-    fn kept_of(&self, offering: usize, part: f64) -> f64 {
+    /// The order in which arrivals are cut: tenants over quota first, in each half the lowest bucket of ranks.
+    fn place_in_order(&self, offering: usize, over_quota: bool) -> usize {
         let bucket = self.offerings[offering].bucket;
-        let all: f64 = self.offerings.iter().map(|o| o.tally).sum();
-        let above: f64 = self.offerings.iter().filter(|o| o.bucket > bucket).map(|o| o.tally).sum();
-        let equal: f64 = self.offerings.iter().filter(|o| o.bucket == bucket).map(|o| o.tally).sum();
-        if equal <= 0.0 {
+        if over_quota {
+            bucket
+        } else {
+            self.tallies.len() / 2 + bucket
+        }
+    }
+
+    /// What stays of a place in the order when this part of all arrivals is let in, the highest places first.
+    fn kept_of(&self, place: usize, part: f64) -> f64 {
+        let all: f64 = self.tallies.iter().sum();
+        let above: f64 = self.tallies[place + 1..].iter().sum();
+        if self.tallies[place] <= 0.0 {
             return part;
         }
-        ((part * all - above) / equal).clamp(0.0, 1.0)
+        ((part * all - above) / self.tallies[place]).clamp(0.0, 1.0)
     }
 
     fn tenant_over_quota(&mut self, tenant: usize) -> bool {
@@ -475,6 +487,7 @@
         let fade = 0.5f64.powf((self.now - self.tally_time) / TALLY_HALF_MS);
         self.tally_time = self.now;
         self.offerings.iter_mut().for_each(|o| o.tally *= fade);
+        self.tallies.iter_mut().for_each(|t| *t *= fade);
         let row = &mut self.offerings[arrival.offering];
         row.tally += 1.0;
         let arrived = self.now - arrival.unread_ms;
@@ -688,7 +701,8 @@
             AdviceMeaning::Nothing => return,
             AdviceMeaning::LowestRank if gone => 1.0,
             AdviceMeaning::LowestRank => {
-                let cut = (0..self.offerings.len()).filter(|o| self.kept_of(*o, self.ease) <= 0.0);
+                let cut = (0..self.offerings.len())
+                    .filter(|o| self.kept_of(self.place_in_order(*o, false), self.ease) <= 0.0);
                 cut.map(|o| self.offerings[o].ranks_to).fold(0.0, f64::max)
             }
             AdviceMeaning::OutstandingPerCaller if gone => 0.0,
