--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,7 +37,7 @@
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told with a dismissal at the hard quota and in the soft band.
 const COOL_HARD_MS: f64 = 300.0;
-const COOL_SOFT_MS: f64 = 0.0;
+const COOL_SOFT_MS: f64 = 150.0;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
 /// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
@@ -378,8 +378,8 @@
             warmth = facts.cold_speed + (1.0 - facts.cold_speed) * step;
         }
         let survivable = 1.0 + (facts.tip_multiple - 1.0) * warmth;
-        let paced = self.paced_crowd().unwrap_or(HARD_FIRST).max(HARD_LEAST);
-        let wanted = HARD_LEAST + (paced - HARD_LEAST) * warmth;
+        let first = HARD_LEAST + (HARD_FIRST - HARD_LEAST) * warmth;
+        let wanted = self.paced_crowd().unwrap_or(first).max(HARD_LEAST);
         let hard = wanted.min(HARD_OF_SURVIVABLE * survivable).max(1.0 + 1.0 / facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
