--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,9 +35,9 @@
 const MEMORY_RUN: f64 = 0.80;
 /// Before the process is stopped, all is answered so long ahead.
 const STOP_MARGIN_MS: f64 = 40.0;
-/// Cool-down told with a dismissal at the hard quota and in the soft band.
-const COOL_HARD_MS: f64 = 300.0;
-const COOL_SOFT_MS: f64 = 150.0;
+/// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
+const COOL_MS: f64 = 300.0;
+
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
 /// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
@@ -239,7 +239,7 @@
         // At the hard quota every arrival is refused.
         let part = self.part_let_in();
         if part <= 0.0 || !self.memory_allows(id) {
-            self.dismiss(id, COOL_HARD_MS, true);
+            self.dismiss(id, COOL_MS, true);
             return self.result();
         }
         // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
@@ -250,7 +250,7 @@
             let kept = self.kept_of(place, part);
             self.counters[place] = (self.counters[place] + 1) % STEPS;
             if f64::from(self.counters[place]) >= kept * f64::from(STEPS) {
-                self.dismiss(id, COOL_SOFT_MS, true);
+                self.dismiss(id, COOL_MS * (1.0 - part), true);
                 return self.result();
             }
         }
