--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,9 +15,12 @@
 /// time; never over HARD_OF_SURVIVABLE of the crowd that it survives. HARD_FIRST serves before any run ended.
 const PACE: f64 = 0.6;
 const HARD_FIRST: f64 = 2.5;
+/// So many times the wait unread of late is taken off the contract time that the hard quota is paced by.
+const UNREAD_TAKEN: f64 = 4.0;
+const UNREAD_WEIGHT: f64 = 0.1;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
 /// The least hard quota, and how far between one a core and the hard quota the soft quota lies.
-const HARD_LEAST: f64 = 1.35;
+const HARD_LEAST: f64 = 1.17;
 const SOFT_PART: f64 = 0.25;
 /// Even steps by which the hard quota rises from cold to warm.
 const WARM_STEPS: f64 = 8.0;
@@ -135,6 +138,8 @@
     awake: f64,
     ease: f64,
     share: f64,
+    /// How long arrivals of late lay unread.
+    unread_ms: f64,
     /// The wait that is usual with a caller's tries of an offering, and the votes for it.
     usual_waits: BTreeMap<(u32, usize), (f64, i32)>,
     /// Decaying tally of arrivals, and the cycling counter, for each place in the order of cuts.
@@ -199,6 +204,7 @@
             awake: 1.0,
             ease: 1.0,
             share: 1.0,
+            unread_ms: 0.0,
             usual_waits: BTreeMap::new(),
             tallies: vec![0.0; 2 * values.len()],
             counters: vec![0; 2 * values.len()],
@@ -384,11 +390,14 @@
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
 
-    /// The crowd in which a mean run still ends in good time, by what runs here have taken.
+    /// The crowd in which a mean run still ends in good time, by what runs here have taken. Reading shares the
+    /// cores with runs: where arrivals lie unread, the crowd shrinks until reading keeps up. Guards against
+    /// retry storms, bursts and slow cores alike; harms where arrivals lie unread though the cores are free.
     fn paced_crowd(&self) -> Option<f64> {
         let known = || self.offerings.iter().filter(|o| o.runs >= 3.0);
         let weight: f64 = known().map(|o| o.tally).sum();
-        let crowd: f64 = known().map(|o| o.tally * PACE * o.contract_ms * o.runs / o.core_ms.max(1.0)).sum();
+        let left = |o: &Offering| (o.contract_ms - UNREAD_TAKEN * self.unread_ms).max(0.0);
+        let crowd: f64 = known().map(|o| o.tally * PACE * left(o) * o.runs / o.core_ms.max(1.0)).sum();
         (weight > 0.0).then(|| crowd / weight)
     }
 
@@ -488,6 +497,7 @@
         self.tally_time = self.now;
         self.offerings.iter_mut().for_each(|o| o.tally *= fade);
         self.tallies.iter_mut().for_each(|t| *t *= fade);
+        self.unread_ms += UNREAD_WEIGHT * (arrival.unread_ms - self.unread_ms);
         let row = &mut self.offerings[arrival.offering];
         row.tally += 1.0;
         let arrived = self.now - arrival.unread_ms;
