--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,8 @@
 /// So many times the wait unread of late is taken off the contract time that the hard quota is paced by.
 const UNREAD_TAKEN: f64 = 4.0;
 const UNREAD_WEIGHT: f64 = 0.1;
+/// Where arrivals lie unread for longer, a dismissed one had better not try elsewhere at once.
+const STORM_UNREAD_MS: f64 = 100.0;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
 /// The least hard quota, and how far between one a core and the hard quota the soft quota lies.
 const HARD_LEAST: f64 = 1.17;
@@ -245,7 +247,7 @@
         // At the hard quota every arrival is refused.
         let part = self.part_let_in();
         if part <= 0.0 || !self.memory_allows(id) {
-            self.dismiss(id, COOL_MS, true);
+            self.turn_back(id, 0.0);
             return self.result();
         }
         // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
@@ -256,7 +258,7 @@
             let kept = self.kept_of(place, part);
             self.counters[place] = (self.counters[place] + 1) % STEPS;
             if f64::from(self.counters[place]) >= kept * f64::from(STEPS) {
-                self.dismiss(id, COOL_MS * (1.0 - part), true);
+                self.turn_back(id, part);
                 return self.result();
             }
         }
@@ -672,6 +674,13 @@
         }
     }
 
+    /// Dismisses what the quotas leave out; the more is cut and the longer arrivals lie unread, the later it
+    /// should come back. Unread arrivals are the sign of a storm of tries, which going elsewhere feeds; harms
+    /// where this server alone is behind and others have room.
+    fn turn_back(&mut self, id: u32, part: f64) {
+        self.dismiss(id, COOL_MS * (1.0 - part) + self.unread_ms, self.unread_ms < STORM_UNREAD_MS);
+    }
+
     fn dismiss(&mut self, id: u32, cool_down_ms: f64, elsewhere_helps: bool) {
         let cool_down_ms = cool_down_ms.min(self.facts.cool_down_most_ms);
         self.finish(id, Ending::Dismissed { cool_down_ms, elsewhere_helps });
