Judge own health by symptoms, learn run times from give-ups, bound those at calls by the survivable crowd

Cause: a slow server never learnt that it was slow, as only runs that ended in time taught it; a hung or failing one went on taking work at its quota.

--- a/crates/plovershelf-wirehost/src/facts.rs
+++ b/crates/plovershelf-wirehost/src/facts.rs
@@ -46,7 +46,6 @@
             revenue: number(class, "gain", 1.0),
             late_share: number(class, "late_worth", 0.0),
             skip_share: of("class_skip_worth", place).and_then(Value::as_f64).unwrap_or(0.0),
-            may_call: of("class_calls", place).and_then(Value::as_bool).unwrap_or(false),
         })
         .collect();
     if offerings.is_empty() {
@@ -87,7 +86,6 @@
         warm_within_ms: number(rules, "warm_within_ms", 0.0),
         tip_multiple: number(rules, "tip_multiple", 1.0),
         grace_ms: number(rules, "drain_grace_ms", 0.0),
-        slack_ms: number(rules, "answer_slack_ms", 0.0),
         cool_down_most_ms: if flag(limits, "retry_after") {
             number(limits, "max_retry_after_ms", 0.0)
         } else {
--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -164,11 +164,10 @@
         reply.push(on(262).put(10, ttl.to_le_bytes()));
     }
     match (change.from, change.to) {
-        (Some(State::Held | State::Paused), State::Running) => reply.push(on(256)),
+        (Some(State::Held), State::Running) => reply.push(on(256)),
         (Some(State::AtCall), State::Running) => reply.push(on(261)),
         (_, State::Calling { within_ms }) => reply.push(on(260).put(10, within_ms.to_le_bytes())),
         (_, State::Joined) => reply.push(on(264)),
-        (_, State::Stopping) => reply.push(on(259)),
         (from, State::Spent { ending, stop }) => {
             if !matches!(from, Some(State::Spent { .. })) {
                 encode_ending(&on, ending, reply);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -24,7 +24,6 @@
     pub late_share: f64,
     /// Share of the revenue kept when a call was left out; 0 forbids leaving it out.
     pub skip_share: f64,
-    pub may_call: bool,
 }
 
 /// What running work can be told to do.
@@ -73,7 +72,6 @@
     pub warm_within_ms: f64,
     pub tip_multiple: f64,
     pub grace_ms: f64,
-    pub slack_ms: f64,
     pub cool_down_most_ms: f64,
     /// How long the answer to a read may serve others; 0 for never.
     pub share_answers_ms: f64,
@@ -145,14 +143,11 @@
     /// Waits for the result of the invocation that it repeats.
     Joined,
     Running,
-    Paused,
     /// Wants a call and has not been given it.
     AtCall,
     Calling {
         within_ms: f64,
     },
-    /// Told to stop; not yet known to have stopped.
-    Stopping,
     /// Nothing is owed any more, but its work still takes memory or a core.
     Spent {
         ending: Ending,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,13 +36,23 @@
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
-/// Memory that runs may fill; the rest is for what is being read.
+/// Memory that runs, and that repeats which wait for another's answer may fill; the rest is for what is read.
 const MEMORY_RUN: f64 = 0.80;
+const MEMORY_HOLD: f64 = 0.85;
+const MEMORY_ANSWERS: f64 = 0.5;
 /// Before the process is stopped, all is answered so long ahead.
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
 const COOL_MS: f64 = 300.0;
 
+/// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
+const RUNS_KEPT: f64 = 0.95;
+/// A backend is sick when this share of its runs of late ended in error, or when so many runs are on it and
+/// none ended for so many times the span in which one was due.
+const FAILING_WEIGHT: f64 = 0.1;
+const FAILING_SHARE: f64 = 0.3;
+const SILENT_RUNS: usize = 4;
+const SILENT_TIMES: f64 = 8.0;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
 /// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
@@ -52,9 +62,10 @@
 /// After a failed call none is placed for this long, doubling while they go on failing.
 const CALL_PAUSE_MS: f64 = 20.0;
 const CALL_PAUSE_MOST_MS: f64 = 640.0;
-/// Invocations a core that may stand at calls, and from where arrivals are cut for it.
+/// Invocations a core that may stand at calls, and the part of them from where arrivals are cut for it.
 const AT_CALL_HARD: f64 = 1.5;
-const AT_CALL_SOFT: f64 = 0.5;
+const CALLERS_BACK: f64 = 0.9;
+const AT_CALL_SOFT: f64 = 0.33;
 /// Weight of a period's reading in smoothed gauges; steps of the advised share down and up.
 const SMOOTH: f64 = 0.15;
 const SHARE_DOWN: f64 = 0.1;
@@ -83,6 +94,7 @@
     repeats: Repeats,
     revenue: f64,
     late_counts: bool,
+    may_skip: bool,
     /// Its bucket of ranks: offerings of equal revenue share one, the lowest revenue comes first.
     bucket: usize,
     /// Where the ranks of its bucket end.
@@ -140,6 +152,11 @@
     awake: f64,
     ease: f64,
     share: f64,
+    /// Smoothed share of runs that end in error; when a run last ended.
+    failing: f64,
+    last_end: f64,
+    /// Callers and checks have been told to stay away.
+    away_told: bool,
     /// How long arrivals of late lay unread.
     unread_ms: f64,
     /// The wait that is usual with a caller's tries of an offering, and the votes for it.
@@ -174,6 +191,7 @@
                 repeats: o.repeats,
                 revenue: o.revenue,
                 late_counts: o.late_share > 0.0,
+                may_skip: o.skip_share > 0.0,
                 bucket: values.iter().position(|v| *v == o.revenue).unwrap_or(0),
                 ranks_to: upto / all,
                 runs: 0.0,
@@ -206,6 +224,9 @@
             awake: 1.0,
             ease: 1.0,
             share: 1.0,
+            failing: 0.0,
+            last_end: now,
+            away_told: false,
             unread_ms: 0.0,
             usual_waits: BTreeMap::new(),
             tallies: vec![0.0; 2 * values.len()],
@@ -218,6 +239,7 @@
             out: Outcome::default(),
             facts,
         };
+        backend.out.words.fit = Some(true);
         let spread = backend.chance.next();
         backend.out.words.wakes.push((PERIOD_MS * (0.5 + spread), Wake::Periodic));
         let outcome = backend.result();
@@ -231,11 +253,15 @@
         let left = self.take_in(&arrival);
         // A repeat of what is held, runs or ran is never run beside it: it shares that one's answer.
         if arrival.original.is_some() {
-            self.change(id, State::Joined);
+            if self.memory_share() < MEMORY_HOLD {
+                self.change(id, State::Joined);
+            } else {
+                self.change(id, State::Ended(Ending::Scrapped));
+            }
             return self.result();
         }
         // Expired work is shed before anything else: it can't be answered in its contract time.
-        if left < FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms) {
+        if left <= 0.0 || left < FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms) {
             self.dismiss(id, 0.0, false);
             return self.result();
         }
@@ -272,7 +298,7 @@
 
     pub fn caller_gone(&mut self, now: f64, id: u32) -> Outcome {
         self.pass_to(now);
-        if self.invocations.contains_key(&id) {
+        if self.state(id).is_some() {
             self.finish(id, Ending::CallerGone);
             self.run_held();
         }
@@ -281,26 +307,25 @@
 
     pub fn wants_call(&mut self, now: f64, id: u32) -> Outcome {
         self.pass_to(now);
-        match self.invocations.get(&id).map(|i| i.state) {
-            Some(State::Running) => {
-                self.change(id, State::AtCall);
-                self.place_calls();
-                self.run_held();
-            }
-            // Its answer is given: the wire ends it here by itself.
-            Some(State::Stopping) => self.change(id, State::AtCall),
-            _ => {}
+        if self.state(id) == Some(State::Running) {
+            self.change(id, State::AtCall);
+            self.place_calls();
+            self.run_held();
         }
         self.result()
     }
 
     pub fn call_ended(&mut self, now: f64, id: u32, end: CallEnd) -> Outcome {
         self.pass_to(now);
-        if let Some(State::Calling { .. }) = self.invocations.get(&id).map(|i| i.state) {
+        if let Some(State::Calling { .. }) = self.state(id) {
             let rerunnable = self.row(id).repeats == Repeats::Rerunnable;
             self.learn_call(now - self.invocations[&id].call_began, end);
+            let skips = end != CallEnd::Ok && self.row(id).may_skip;
+            let again = rerunnable || matches!(end, CallEnd::Ok | CallEnd::ProvenNotRun);
             self.change(id, if end == CallEnd::Ok { State::Running } else { State::AtCall });
-            if !rerunnable && !matches!(end, CallEnd::Ok | CallEnd::ProvenNotRun) {
+            if skips {
+                self.change(id, State::Running);
+            } else if !again {
                 self.give_up(id);
             }
             if end == CallEnd::GivenUp {
@@ -313,17 +338,15 @@
 
     pub fn run_ended(&mut self, now: f64, id: u32, end: RunEnd) -> Outcome {
         self.pass_to(now);
-        if let Some(invocation) = self.invocations.get(&id) {
-            let state = invocation.state;
-            match (state, end) {
-                (State::Spent { ending, .. }, _) => self.change(id, State::Ended(ending)),
-                (_, RunEnd::Ok) => {
-                    self.change(id, State::Ended(Ending::Succeeded));
-                }
-                (_, RunEnd::Error) => self.change(id, State::Ended(Ending::RunFailed)),
-                (State::Stopping, RunEnd::Stopped) => self.change(id, State::Held),
-                (_, _) => self.change(id, State::Ended(Ending::CallerGone)),
-            }
+        if let Some(state) = self.state(id) {
+            let ending = match (state, end) {
+                (State::Spent { ending, .. }, _) => ending,
+                (_, RunEnd::Ok) => Ending::Succeeded,
+                (_, RunEnd::Error) => Ending::RunFailed,
+                (_, RunEnd::Stopped | RunEnd::NeverBegan) => Ending::CallerGone,
+            };
+            self.learn_end(id, end);
+            self.change(id, State::Ended(ending));
             self.place_calls();
             self.run_held();
         }
@@ -337,7 +360,6 @@
         for id in ids {
             self.set_due(id);
         }
-        self.out.words.fit = Some(false);
         self.advise();
         self.result()
     }
@@ -377,21 +399,35 @@
         self.on_core as f64 / self.facts.cores
     }
 
-    /// The soft and the hard quota, rising by even steps from cold to warm.
-    fn quotas(&self) -> (f64, f64) {
+    /// How warm the cores are for certain: it rises by even steps from the told cold speed.
+    fn warmth(&self) -> f64 {
         let facts = &self.facts;
-        let mut warmth = 1.0;
-        if facts.just_started && self.now - self.began < facts.warm_within_ms {
-            let step = ((self.now - self.began) / facts.warm_within_ms * WARM_STEPS).floor() / WARM_STEPS;
-            warmth = facts.cold_speed + (1.0 - facts.cold_speed) * step;
+        let age = self.now - self.began;
+        if !facts.just_started || age >= facts.warm_within_ms {
+            return 1.0;
         }
-        let survivable = 1.0 + (facts.tip_multiple - 1.0) * warmth;
-        let first = HARD_LEAST + (HARD_FIRST - HARD_LEAST) * warmth;
+        let step = (age / facts.warm_within_ms * WARM_STEPS).floor() / WARM_STEPS;
+        facts.cold_speed + (1.0 - facts.cold_speed) * step
+    }
+
+    fn survivable(&self) -> f64 {
+        1.0 + (self.facts.tip_multiple - 1.0) * self.warmth()
+    }
+
+    /// The soft and the hard quota, in runs a core; the hard one's ceiling rises from cold to warm.
+    fn quotas(&self) -> (f64, f64) {
+        let first = HARD_LEAST + (HARD_FIRST - HARD_LEAST) * self.warmth();
         let wanted = self.paced_crowd().unwrap_or(first).max(HARD_LEAST);
-        let hard = wanted.min(HARD_OF_SURVIVABLE * survivable).max(1.0 + 1.0 / facts.cores);
+        let hard = wanted.min(HARD_OF_SURVIVABLE * self.survivable()).max(1.0 + 1.0 / self.facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
 
+    /// All that stands at calls may come back to the cores at once, beside as many runs as the quota lets in.
+    fn at_call_most(&self) -> f64 {
+        let room = CALLERS_BACK * self.survivable() - self.quotas().1;
+        (self.facts.cores * room.min(AT_CALL_HARD)).max(1.0)
+    }
+
     /// The crowd in which a mean run still ends in good time, by what runs here have taken. Reading shares the
     /// cores with runs: where arrivals lie unread, the crowd shrinks until reading keeps up. Guards against
     /// retry storms, bursts and slow cores alike; harms where arrivals lie unread though the cores are free.
@@ -410,12 +446,16 @@
         let stepped = |soft: f64, hard: f64, load: f64| {
             ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
         };
+        if self.sick() {
+            return if self.on_core == 0 { 1.0 } else { 0.0 };
+        }
         let (soft, hard) = self.quotas();
         let mut part = stepped(soft, hard, self.load());
         if part > 0.0 && self.busy < GATE_BUSY {
             part = 1.0;
         }
-        part.min(stepped(AT_CALL_SOFT, AT_CALL_HARD, self.at_call as f64 / self.facts.cores))
+        let at_call_hard = self.at_call_most();
+        part.min(stepped(AT_CALL_SOFT * at_call_hard, at_call_hard, self.at_call as f64))
     }
 
     /// The order in which arrivals are cut: tenants over quota first, in each half the lowest bucket of ranks.
@@ -452,12 +492,14 @@
         }
     }
 
+    fn memory_share(&self) -> f64 {
+        (self.memory_kb + self.remembered.len() as f64 * self.facts.entry_kb) / self.facts.memory_kb
+    }
+
     fn memory_allows(&self, id: u32) -> bool {
-        let footprint = self.invocations[&id].footprint_kb;
         let entry = if self.remembers(id) { self.facts.entry_kb } else { 0.0 };
-        let entries = self.remembered.len() as f64 * self.facts.entry_kb;
-        let more = footprint * (self.facts.run_factor - 1.0) + entry;
-        self.memory_kb + entries + more <= MEMORY_RUN * self.facts.memory_kb
+        let more = self.invocations[&id].footprint_kb * (self.facts.run_factor - 1.0) + entry;
+        self.memory_share() + more / self.facts.memory_kb <= MEMORY_RUN
     }
 
     // ---- time and work ------------------------------------------------------------------------------
@@ -475,6 +517,37 @@
         core_ms * ((self.on_core as f64 + 1.0) / self.facts.cores).max(1.0)
     }
 
+    /// What a run took, or had taken when it was given up, which is the least that it would have.
+    fn learn_end(&mut self, id: u32, end: RunEnd) {
+        let invocation = &self.invocations[&id];
+        if !matches!(invocation.state, State::Running) || end == RunEnd::NeverBegan {
+            return;
+        }
+        let core_ms = invocation.core_ms + self.core_clock - invocation.core_clock;
+        let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
+        let failed = if end == RunEnd::Error { 1.0 } else { 0.0 };
+        self.failing += FAILING_WEIGHT * (failed - self.failing);
+        self.last_end = self.now;
+        let row = &mut self.offerings[invocation.offering];
+        if end != RunEnd::Error {
+            row.runs = row.runs * RUNS_KEPT + 1.0;
+            row.core_ms = row.core_ms * RUNS_KEPT + core_ms;
+            row.hinted_ms = row.hinted_ms * RUNS_KEPT + hinted_ms;
+        }
+    }
+
+    /// Judged by symptoms: runs that end in errors, or many runs of which none ends though several were due.
+    /// Guards against servers that fail fast, hang or stall, whatever the cause; then one run at a time probes,
+    /// callers are told to stay away and health is answered so. Harms where many costly runs come together.
+    fn sick(&self) -> bool {
+        let runs: f64 = self.offerings.iter().map(|o| o.runs).sum();
+        let core_ms: f64 = self.offerings.iter().map(|o| o.core_ms).sum();
+        let mean_ms = core_ms / runs.max(1.0) / self.awake.max(0.2);
+        let every_ms = mean_ms / (self.on_core as f64).min(self.facts.cores).max(1.0);
+        let silent = self.on_core >= SILENT_RUNS && self.now - self.last_end > SILENT_TIMES * every_ms;
+        self.failing > FAILING_SHARE || (silent && runs >= 3.0)
+    }
+
     fn pass_to(&mut self, now: f64) {
         let passed = (now - self.now).max(0.0);
         self.now = now;
@@ -556,6 +629,10 @@
         (limit - patience).max(0.0)
     }
 
+    fn state(&self, id: u32) -> Option<State> {
+        self.invocations.get(&id).map(|i| i.state)
+    }
+
     fn row(&self, id: u32) -> &Offering {
         &self.offerings[self.invocations[&id].offering]
     }
@@ -584,7 +661,7 @@
             && self.row(id).repeats == Repeats::Rerunnable;
         let span = if self.remembers(id) {
             self.row(id).window_ms
-        } else if shares && self.memory_kb < 0.5 * self.facts.memory_kb {
+        } else if shares && self.memory_share() < MEMORY_ANSWERS {
             self.row(id).contract_ms + self.facts.share_answers_ms
         } else {
             return;
@@ -604,18 +681,16 @@
     fn run_held(&mut self) {
         loop {
             let (_, hard) = self.quotas();
-            let at_call_most = self.facts.cores * AT_CALL_HARD;
-            if self.load() >= hard || self.at_call as f64 >= at_call_most {
+            if self.load() >= hard || self.at_call as f64 >= self.at_call_most() {
                 return;
             }
-            let held =
-                self.invocations.iter().filter(|(_, i)| matches!(i.state, State::Held | State::Paused));
+            let held = self.invocations.iter().filter(|(_, i)| i.state == State::Held);
             let best = held.max_by(|(_, a), (_, b)| {
                 let revenue = |i: &Invocation| self.offerings[i.offering].revenue;
                 revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
             });
             let Some((&id, _)) = best else { return };
-            if self.invocations[&id].state == State::Held && !self.memory_allows(id) {
+            if !self.memory_allows(id) {
                 return;
             }
             self.change(id, State::Running);
@@ -666,19 +741,24 @@
     /// Nothing more is hoped for: the answer goes out at once.
     fn give_up(&mut self, id: u32) {
         let Some(invocation) = self.invocations.get(&id) else { return };
-        let ran = invocation.ran;
-        if invocation.state == State::Joined || (ran && self.row(id).repeats != Repeats::Rerunnable) {
+        let may_have_run = invocation.ran || invocation.state == State::Joined;
+        if may_have_run && self.row(id).repeats != Repeats::Rerunnable {
             self.finish(id, Ending::Scrapped);
-        } else {
-            self.dismiss(id, self.facts.cool_down_most_ms, false);
+            return;
         }
+        if invocation.state == State::Running {
+            self.learn_end(id, RunEnd::Stopped);
+        }
+        self.dismiss(id, self.facts.cool_down_most_ms, self.leaving.is_some());
     }
 
     /// Dismisses what the quotas leave out; the more is cut and the longer arrivals lie unread, the later it
     /// should come back. Unread arrivals are the sign of a storm of tries, which going elsewhere feeds; harms
     /// where this server alone is behind and others have room.
     fn turn_back(&mut self, id: u32, part: f64) {
-        self.dismiss(id, COOL_MS * (1.0 - part) + self.unread_ms, self.unread_ms < STORM_UNREAD_MS);
+        let storm = self.unread_ms >= STORM_UNREAD_MS && !self.away_told;
+        let cool_down = if self.away_told { f64::MAX } else { COOL_MS * (1.0 - part) + self.unread_ms };
+        self.dismiss(id, cool_down, !storm);
     }
 
     fn dismiss(&mut self, id: u32, cool_down_ms: f64, elsewhere_helps: bool) {
@@ -692,9 +772,9 @@
         let answered = |stop| State::Spent { ending, stop };
         match self.invocations[&id].state {
             State::Spent { .. } | State::Ended(_) => {}
-            State::Held | State::Joined | State::Paused => self.change(id, State::Ended(ending)),
+            State::Held | State::Joined => self.change(id, State::Ended(ending)),
             State::Running => self.change(id, answered(rerunnable)),
-            State::AtCall | State::Calling { .. } | State::Stopping => self.change(id, answered(false)),
+            State::AtCall | State::Calling { .. } => self.change(id, answered(false)),
         }
     }
 
@@ -710,7 +790,14 @@
     // ---- what callers are told ----------------------------------------------------------------------
 
     fn advise(&mut self) {
-        let gone = self.leaving.is_some();
+        let gone = self.leaving.is_some() || self.sick();
+        if gone != self.away_told {
+            self.away_told = gone;
+            self.out.words.fit = Some(!gone);
+            let cause = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
+            let note = if gone { format!("stay away: {cause}") } else { "well again".to_string() };
+            self.out.words.notes.push(note);
+        }
         if self.ease < 1.0 - 1.0 / f64::from(STEPS) {
             self.share = (self.share * (1.0 - SHARE_DOWN * (1.0 - self.ease))).max(SHARE_LEAST);
         } else {
@@ -740,9 +827,8 @@
     fn change(&mut self, id: u32, to: State) {
         let Some(invocation) = self.invocations.get_mut(&id) else { return };
         let from = invocation.state;
-        let runs = |s: State| matches!(s, State::Running | State::Stopping | State::Spent { .. });
+        let runs = |s: State| matches!(s, State::Running | State::Spent { .. });
         let calls = |s: State| matches!(s, State::AtCall | State::Calling { .. });
-        let heavy = |s: State| runs(s) || calls(s) || s == State::Paused;
         if runs(from) {
             invocation.core_ms += self.core_clock - invocation.core_clock;
         }
@@ -756,7 +842,7 @@
         }
         let weight = |s: State| match s {
             State::Ended(_) => 0.0,
-            s if heavy(s) => self.facts.run_factor,
+            s if runs(s) || calls(s) => self.facts.run_factor,
             _ => 1.0,
         };
         self.memory_kb += (weight(to) - weight(from)) * invocation.footprint_kb;
@@ -765,13 +851,6 @@
         if matches!(to, State::Calling { .. }) {
             invocation.call_began = self.now;
         }
-        if matches!(to, State::Ended(Ending::Succeeded)) {
-            let row = &mut self.offerings[invocation.offering];
-            let keep = 1.0 - 1.0 / 20.0;
-            row.runs = row.runs * keep + 1.0;
-            row.core_ms = row.core_ms * keep + invocation.core_ms;
-            row.hinted_ms = row.hinted_ms * keep + invocation.hint_ms.unwrap_or(0.0);
-        }
         self.out.changes.push(Change { id, from: Some(from), to, remember_ms: None });
         match to {
             State::Ended(_) => {
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -10,7 +10,6 @@
         revenue,
         late_share: 0.0,
         skip_share: 0.0,
-        may_call: true,
     };
     StartFacts {
         seed: 7,
@@ -33,7 +32,6 @@
         warm_within_ms: 10_000.0,
         tip_multiple: 8.0,
         grace_ms: 500.0,
-        slack_ms: 60.0,
         cool_down_most_ms: 1000.0,
         share_answers_ms: 0.0,
     }
