Try one of a kind though it seems too late, so that a slow spell is unlearnt

Without it a server that once learnt to be slow would turn all of an offering away and never learn otherwise.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -261,7 +261,8 @@
             return self.result();
         }
         // Expired work is shed before anything else: it can't be answered in its contract time.
-        if left <= 0.0 || left < FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms) {
+        let foreseen = FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
+        if left <= 0.0 || (left < foreseen && self.others_run(id)) {
             self.dismiss(id, 0.0, false);
             return self.result();
         }
@@ -548,6 +549,12 @@
         self.failing > FAILING_SHARE || (silent && runs >= 3.0)
     }
 
+    /// With nothing of its kind running, one that seems too late is tried: what was foreseen may be outdated.
+    fn others_run(&self, id: u32) -> bool {
+        let offering = self.invocations[&id].offering;
+        self.invocations.values().any(|i| i.offering == offering && i.state != State::Held)
+    }
+
     fn pass_to(&mut self, now: f64) {
         let passed = (now - self.now).max(0.0);
         self.now = now;
