--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,8 +21,7 @@
 /// Where arrivals lie unread for longer, a dismissed one had better not try elsewhere at once.
 const STORM_UNREAD_MS: f64 = 100.0;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
-/// The least hard quota, and how far between one a core and the hard quota the soft quota lies.
-const HARD_LEAST: f64 = 1.17;
+/// How far between one a core and the hard quota the soft quota lies.
 const SOFT_PART: f64 = 0.25;
 /// Even steps by which the hard quota rises from cold to warm.
 const WARM_STEPS: f64 = 8.0;
@@ -36,6 +35,7 @@
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
+const CALLERS_KNOWN: usize = 2000;
 /// Memory that runs, and that repeats which wait for another's answer may fill; the rest is for what is read.
 const MEMORY_RUN: f64 = 0.80;
 const MEMORY_HOLD: f64 = 0.85;
@@ -75,9 +75,6 @@
 struct Pcg(u64);
 
 impl Pcg {
-    fn new(seed: u64) -> Self {
-        Pcg(seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407))
-    }
     fn next(&mut self) -> f64 {
         let old = self.0;
         self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
@@ -86,15 +83,9 @@
     }
 }
 
-/// A row of the table of offerings: what its terms come to here, and what its runs have shown.
+/// A row of the table of offerings: its terms, its place among the ranks, and what its runs have shown.
 struct Offering {
-    contract_ms: f64,
-    hard_limit_ms: f64,
-    window_ms: f64,
-    repeats: Repeats,
-    revenue: f64,
-    late_counts: bool,
-    may_skip: bool,
+    terms: OfferingTerms,
     /// Its bucket of ranks: offerings of equal revenue share one, the lowest revenue comes first.
     bucket: usize,
     /// Where the ranks of its bucket end.
@@ -111,8 +102,7 @@
     offering: usize,
     footprint_kb: f64,
     hint_ms: Option<f64>,
-    /// When its final answer is due, and when it is given up.
-    answer_by: f64,
+    /// When it is given up, and the same as it stands in the order of due times.
     give_up_at: f64,
     due: f64,
     /// It ran, or may have.
@@ -123,36 +113,43 @@
     core_clock: f64,
 }
 
-pub struct Backend {
-    facts: StartFacts,
-    offerings: Vec<Offering>,
+/// What the backend has in hand.
+#[derive(Default)]
+struct InHand {
     invocations: BTreeMap<u32, Invocation>,
     /// All due times but the periodic one: (bits of the time, id).
     due: BTreeSet<(u64, u32)>,
-    woken_for: f64,
-    now: f64,
-    began: f64,
-    leaving: Option<(f64, f64)>,
     on_core: usize,
     at_call: usize,
     calls_out: usize,
+    /// When calls that were given up have left the dependency; mean of calls in its hands.
     lingering: Vec<f64>,
     calls_mean: f64,
+    memory_kb: f64,
+    remembered: BTreeSet<(u64, u32)>,
+    /// Advances by the core time that each run on a core gets.
+    core_clock: f64,
+}
+
+pub struct Backend {
+    facts: StartFacts,
+    offerings: Vec<Offering>,
+    hand: InHand,
+    woken_for: f64,
+    now: f64,
+    began: f64,
+    leaving: Option<(f64, f64)>,
     /// Calls in hand allowed now, the quickest call of late, and the pause after failures.
     calls_most: f64,
     call_quick_ms: f64,
     call_pause_ms: f64,
     calls_after: f64,
-    memory_kb: f64,
-    remembered: BTreeSet<(u64, u32)>,
-    /// Advances by the core time that each run on a core gets.
-    core_clock: f64,
     busy: f64,
     /// Smoothed: part of the runs that want a core, and part of arrivals let in.
     awake: f64,
     ease: f64,
     share: f64,
-    /// Smoothed share of runs that end in error; when a run last ended.
+    /// Smoothed share of runs that end in error; when a run last ended, or so many were not yet on.
     failing: f64,
     last_end: f64,
     /// Callers and checks have been told to stay away.
@@ -161,11 +158,12 @@
     unread_ms: f64,
     /// The wait that is usual with a caller's tries of an offering, and the votes for it.
     usual_waits: BTreeMap<(u32, usize), (f64, i32)>,
-    /// Decaying tally of arrivals, and the cycling counter, for each place in the order of cuts.
+    /// The order of cuts: the buckets of tenants over quota, lowest first, then those of all others; for each
+    /// place in it a decaying tally of arrivals and the cycling counter.
+    buckets: usize,
     tallies: Vec<f64>,
     counters: Vec<u32>,
     tenants: Vec<f64>,
-    tenant_time: f64,
     tally_time: f64,
     advised: f64,
     chance: Pcg,
@@ -182,44 +180,26 @@
         values.sort_by(f64::total_cmp);
         values.dedup();
         let all = facts.offerings.len() as f64;
-        let offerings = facts.offerings.iter().map(|o| {
-            let upto = facts.offerings.iter().filter(|p| p.revenue <= o.revenue).count() as f64;
-            Offering {
-                contract_ms: o.contract_ms.min(o.hard_limit_ms),
-                hard_limit_ms: o.hard_limit_ms,
-                window_ms: o.ticket_window_ms,
-                repeats: o.repeats,
-                revenue: o.revenue,
-                late_counts: o.late_share > 0.0,
-                may_skip: o.skip_share > 0.0,
-                bucket: values.iter().position(|v| *v == o.revenue).unwrap_or(0),
-                ranks_to: upto / all,
-                runs: 0.0,
-                core_ms: 0.0,
-                hinted_ms: 0.0,
-                tally: 0.0,
-            }
+        let offerings = facts.offerings.iter().map(|o| Offering {
+            terms: o.clone(),
+            bucket: values.iter().position(|v| *v == o.revenue).unwrap_or(0),
+            ranks_to: facts.offerings.iter().filter(|p| p.revenue <= o.revenue).count() as f64 / all,
+            runs: 0.0,
+            core_ms: 0.0,
+            hinted_ms: 0.0,
+            tally: 0.0,
         });
         let mut backend = Backend {
             offerings: offerings.collect(),
-            invocations: BTreeMap::new(),
-            due: BTreeSet::new(),
+            hand: InHand::default(),
             woken_for: f64::MAX,
             now,
             began: now,
             leaving: None,
-            on_core: 0,
-            at_call: 0,
-            calls_out: 0,
-            lingering: Vec::new(),
-            calls_mean: 0.0,
             calls_most: facts.call_share.map_or(f64::MAX, |share| (CALLS_OF_SHARE * share).max(1.0)),
             call_quick_ms: f64::MAX,
             call_pause_ms: CALL_PAUSE_MS,
             calls_after: now,
-            memory_kb: 0.0,
-            remembered: BTreeSet::new(),
-            core_clock: 0.0,
             busy: 1.0,
             awake: 1.0,
             ease: 1.0,
@@ -229,13 +209,13 @@
             away_told: false,
             unread_ms: 0.0,
             usual_waits: BTreeMap::new(),
+            buckets: values.len(),
             tallies: vec![0.0; 2 * values.len()],
             counters: vec![0; 2 * values.len()],
             tenants: vec![0.0; facts.tenant_quotas.len()],
-            tenant_time: now,
             tally_time: now,
             advised: -1.0,
-            chance: Pcg::new(facts.seed),
+            chance: Pcg(facts.seed),
             out: Outcome::default(),
             facts,
         };
@@ -253,11 +233,8 @@
         let left = self.take_in(&arrival);
         // A repeat of what is held, runs or ran is never run beside it: it shares that one's answer.
         if arrival.original.is_some() {
-            if self.memory_share() < MEMORY_HOLD {
-                self.change(id, State::Joined);
-            } else {
-                self.change(id, State::Ended(Ending::Scrapped));
-            }
+            let room = self.memory_share() < MEMORY_HOLD;
+            self.change(id, if room { State::Joined } else { State::Ended(Ending::Scrapped) });
             return self.result();
         }
         // Expired work is shed before anything else: it can't be answered in its contract time.
@@ -279,7 +256,8 @@
         }
         // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
         let over_quota = self.tenant_over_quota(arrival.tenant);
-        let place = self.place_in_order(arrival.offering, over_quota);
+        let bucket = self.offerings[arrival.offering].bucket;
+        let place = if over_quota { bucket } else { self.buckets + bucket };
         self.tallies[place] += 1.0;
         if part < 1.0 {
             let kept = self.kept_of(place, part);
@@ -319,18 +297,19 @@
     pub fn call_ended(&mut self, now: f64, id: u32, end: CallEnd) -> Outcome {
         self.pass_to(now);
         if let Some(State::Calling { .. }) = self.state(id) {
-            let rerunnable = self.row(id).repeats == Repeats::Rerunnable;
-            self.learn_call(now - self.invocations[&id].call_began, end);
-            let skips = end != CallEnd::Ok && self.row(id).may_skip;
-            let again = rerunnable || matches!(end, CallEnd::Ok | CallEnd::ProvenNotRun);
-            self.change(id, if end == CallEnd::Ok { State::Running } else { State::AtCall });
-            if skips {
+            self.learn_call(now - self.hand.invocations[&id].call_began, end);
+            let terms = &self.row(id).terms;
+            let (rerunnable, skips) = (terms.repeats == Repeats::Rerunnable, terms.skip_share > 0.0);
+            if end != CallEnd::Ok {
+                self.change(id, State::AtCall);
+            }
+            if end == CallEnd::Ok || skips {
                 self.change(id, State::Running);
-            } else if !again {
+            } else if !rerunnable && end != CallEnd::ProvenNotRun {
                 self.give_up(id);
             }
             if end == CallEnd::GivenUp {
-                self.lingering.push(now + self.facts.call_linger_ms);
+                self.hand.lingering.push(now + self.facts.call_linger_ms);
             }
             self.place_calls();
         }
@@ -357,29 +336,25 @@
     pub fn told_to_leave(&mut self, now: f64, stopped_at: f64) -> Outcome {
         self.pass_to(now);
         self.leaving = Some((now + self.facts.grace_ms, stopped_at - STOP_MARGIN_MS));
-        let ids: Vec<u32> = self.invocations.keys().copied().collect();
-        for id in ids {
-            self.set_due(id);
-        }
+        let owed = |i: &Invocation| !matches!(i.state, State::Spent { .. });
+        self.ids_of(owed).into_iter().for_each(|id| self.set_due(id));
         self.advise();
         self.result()
     }
 
     pub fn woke(&mut self, now: f64, wake: Wake, gauges: Gauges) -> Outcome {
         self.pass_to(now);
-        if let Some(busy) = gauges.cores_busy {
-            self.busy = busy;
-        }
+        self.busy = gauges.cores_busy.unwrap_or(self.busy);
         if wake == Wake::Periodic {
             self.out.words.wakes.push((PERIOD_MS, Wake::Periodic));
-            self.lingering.retain(|until| *until > now);
-            while self.remembered.first().is_some_and(|(until, _)| *until <= bits(now)) {
-                self.remembered.pop_first();
+            self.hand.lingering.retain(|until| *until > now);
+            while self.hand.remembered.first().is_some_and(|(until, _)| *until <= bits(now)) {
+                self.hand.remembered.pop_first();
             }
             self.stop_spent();
-            if let (Some(wanting), true) = (gauges.wanting_core, self.on_core > 0) {
-                let awake = (wanting / self.on_core as f64).min(1.0);
-                self.awake += SMOOTH * (awake - self.awake);
+            let awake = gauges.wanting_core.map(|wanting| wanting / self.hand.on_core.max(1) as f64);
+            if self.hand.on_core > 0 {
+                self.awake += SMOOTH * (awake.unwrap_or(1.0).min(1.0) - self.awake);
             }
             self.ease += SMOOTH * (self.part_let_in() - self.ease);
             self.call_quick_ms *= 1.005;
@@ -397,18 +372,15 @@
 
     /// Runs a core that are on the cores or wait for disk; those at a call have a bound of their own.
     fn load(&self) -> f64 {
-        self.on_core as f64 / self.facts.cores
+        self.hand.on_core as f64 / self.facts.cores
     }
 
     /// How warm the cores are for certain: it rises by even steps from the told cold speed.
     fn warmth(&self) -> f64 {
         let facts = &self.facts;
-        let age = self.now - self.began;
-        if !facts.just_started || age >= facts.warm_within_ms {
-            return 1.0;
-        }
-        let step = (age / facts.warm_within_ms * WARM_STEPS).floor() / WARM_STEPS;
-        facts.cold_speed + (1.0 - facts.cold_speed) * step
+        let age = (self.now - self.began) / facts.warm_within_ms.max(1.0);
+        let step = if facts.just_started { (age * WARM_STEPS).floor() / WARM_STEPS } else { 1.0 };
+        facts.cold_speed + (1.0 - facts.cold_speed) * step.min(1.0)
     }
 
     fn survivable(&self) -> f64 {
@@ -417,8 +389,7 @@
 
     /// The soft and the hard quota, in runs a core; the hard one's ceiling rises from cold to warm.
     fn quotas(&self) -> (f64, f64) {
-        let first = HARD_LEAST + (HARD_FIRST - HARD_LEAST) * self.warmth();
-        let wanted = self.paced_crowd().unwrap_or(first).max(HARD_LEAST);
+        let wanted = self.paced_crowd().unwrap_or(HARD_FIRST * self.warmth());
         let hard = wanted.min(HARD_OF_SURVIVABLE * self.survivable()).max(1.0 + 1.0 / self.facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
@@ -435,7 +406,7 @@
     fn paced_crowd(&self) -> Option<f64> {
         let known = || self.offerings.iter().filter(|o| o.runs >= 3.0);
         let weight: f64 = known().map(|o| o.tally).sum();
-        let left = |o: &Offering| (o.contract_ms - UNREAD_TAKEN * self.unread_ms).max(0.0);
+        let left = |o: &Offering| (o.terms.contract_ms - UNREAD_TAKEN * self.unread_ms).max(0.0);
         let crowd: f64 = known().map(|o| o.tally * PACE * left(o) * o.runs / o.core_ms.max(1.0)).sum();
         (weight > 0.0).then(|| crowd / weight)
     }
@@ -448,42 +419,23 @@
             ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
         };
         if self.sick() {
-            return if self.on_core == 0 { 1.0 } else { 0.0 };
+            return if self.hand.on_core == 0 { 1.0 } else { 0.0 };
         }
         let (soft, hard) = self.quotas();
         let mut part = stepped(soft, hard, self.load());
-        if part > 0.0 && self.busy < GATE_BUSY {
-            part = 1.0;
-        }
+        part = if part > 0.0 && self.busy < GATE_BUSY { 1.0 } else { part };
         let at_call_hard = self.at_call_most();
-        part.min(stepped(AT_CALL_SOFT * at_call_hard, at_call_hard, self.at_call as f64))
-    }
-
-    /// The order in which arrivals are cut: tenants over quota first, in each half the lowest bucket of ranks.
-    fn place_in_order(&self, offering: usize, over_quota: bool) -> usize {
-        let bucket = self.offerings[offering].bucket;
-        if over_quota {
-            bucket
-        } else {
-            self.tallies.len() / 2 + bucket
-        }
+        part.min(stepped(AT_CALL_SOFT * at_call_hard, at_call_hard, self.hand.at_call as f64))
     }
 
     /// What stays of a place in the order when this part of all arrivals is let in, the highest places first.
     fn kept_of(&self, place: usize, part: f64) -> f64 {
         let all: f64 = self.tallies.iter().sum();
         let above: f64 = self.tallies[place + 1..].iter().sum();
-        if self.tallies[place] <= 0.0 {
-            return part;
-        }
-        ((part * all - above) / self.tallies[place]).clamp(0.0, 1.0)
+        ((part * all - above) / self.tallies[place].max(f64::EPSILON)).clamp(0.0, 1.0)
     }
 
-    fn tenant_over_quota(&mut self, tenant: usize) -> bool {
-        let passed = self.now - self.tenant_time;
-        self.tenant_time = self.now;
-        let fade = 0.5f64.powf(passed / TALLY_HALF_MS);
-        self.tenants.iter_mut().for_each(|t| *t *= fade);
+    fn tenant_over_quota(&self, tenant: usize) -> bool {
         match (self.tenants.get(tenant), self.facts.tenant_quotas.get(tenant)) {
             (Some(admitted), Some(quota)) => {
                 let per_s = admitted * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
@@ -494,12 +446,12 @@
     }
 
     fn memory_share(&self) -> f64 {
-        (self.memory_kb + self.remembered.len() as f64 * self.facts.entry_kb) / self.facts.memory_kb
+        (self.hand.memory_kb + self.hand.remembered.len() as f64 * self.facts.entry_kb) / self.facts.memory_kb
     }
 
     fn memory_allows(&self, id: u32) -> bool {
         let entry = if self.remembers(id) { self.facts.entry_kb } else { 0.0 };
-        let more = self.invocations[&id].footprint_kb * (self.facts.run_factor - 1.0) + entry;
+        let more = self.hand.invocations[&id].footprint_kb * (self.facts.run_factor - 1.0) + entry;
         self.memory_share() + more / self.facts.memory_kb <= MEMORY_RUN
     }
 
@@ -515,18 +467,18 @@
             Some(hint) if row.hinted_ms > 0.0 => hint * row.core_ms / row.hinted_ms,
             _ => row.core_ms / row.runs,
         };
-        core_ms * ((self.on_core as f64 + 1.0) / self.facts.cores).max(1.0)
+        core_ms * ((self.hand.on_core as f64 + 1.0) / self.facts.cores).max(1.0)
     }
 
     /// What a run took, or had taken when it was given up, which is the least that it would have.
     fn learn_end(&mut self, id: u32, end: RunEnd) {
-        let invocation = &self.invocations[&id];
+        let invocation = &self.hand.invocations[&id];
         if !matches!(invocation.state, State::Running) || end == RunEnd::NeverBegan {
             return;
         }
-        let core_ms = invocation.core_ms + self.core_clock - invocation.core_clock;
+        let core_ms = invocation.core_ms + self.hand.core_clock - invocation.core_clock;
         let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
-        let failed = if end == RunEnd::Error { 1.0 } else { 0.0 };
+        let failed = f64::from(u8::from(end == RunEnd::Error));
         self.failing += FAILING_WEIGHT * (failed - self.failing);
         self.last_end = self.now;
         let row = &mut self.offerings[invocation.offering];
@@ -541,34 +493,32 @@
     /// Guards against servers that fail fast, hang or stall, whatever the cause; then one run at a time probes,
     /// callers are told to stay away and health is answered so. Harms where many costly runs come together.
     fn sick(&self) -> bool {
-        let runs: f64 = self.offerings.iter().map(|o| o.runs).sum();
-        let core_ms: f64 = self.offerings.iter().map(|o| o.core_ms).sum();
-        let mean_ms = core_ms / runs.max(1.0) / self.awake.max(0.2);
-        let every_ms = mean_ms / (self.on_core as f64).min(self.facts.cores).max(1.0);
-        let silent = self.on_core >= SILENT_RUNS && self.now - self.last_end > SILENT_TIMES * every_ms;
+        let sum = |of: fn(&Offering) -> f64| self.offerings.iter().map(of).sum::<f64>();
+        let runs = sum(|o| o.runs);
+        let mean_ms = sum(|o| o.core_ms) / runs.max(1.0) / self.awake.max(0.2);
+        let every_ms = mean_ms / (self.hand.on_core as f64).min(self.facts.cores).max(1.0);
+        let silent = self.hand.on_core >= SILENT_RUNS && self.now - self.last_end > SILENT_TIMES * every_ms;
         self.failing > FAILING_SHARE || (silent && runs >= 3.0)
     }
 
     /// With nothing of its kind running, one that seems too late is tried: what was foreseen may be outdated.
     fn others_run(&self, id: u32) -> bool {
-        let offering = self.invocations[&id].offering;
-        self.invocations.values().any(|i| i.offering == offering && i.state != State::Held)
+        let offering = self.hand.invocations[&id].offering;
+        self.hand.invocations.values().any(|i| i.offering == offering && i.state != State::Held)
     }
 
     fn pass_to(&mut self, now: f64) {
         let passed = (now - self.now).max(0.0);
         self.now = now;
         if passed > 0.0 {
-            self.core_clock += passed * (self.facts.cores / (self.on_core.max(1) as f64)).min(self.awake);
-            let in_hand = (self.calls_out + self.lingering.len()) as f64;
+            self.hand.core_clock +=
+                passed * (self.facts.cores / (self.hand.on_core.max(1) as f64)).min(self.awake);
+            let in_hand = (self.hand.calls_out + self.hand.lingering.len()) as f64;
             let weight = (passed / self.facts.call_span_ms.max(1.0)).min(1.0);
-            self.calls_mean += (in_hand - self.calls_mean) * weight;
+            self.hand.calls_mean += (in_hand - self.hand.calls_mean) * weight;
         }
-        while let Some(&(time, id)) = self.due.first() {
-            if time > bits(now) {
-                break;
-            }
-            self.due.pop_first();
+        while let Some(&(_, id)) = self.hand.due.first().filter(|(time, _)| *time <= bits(now)) {
+            self.hand.due.pop_first();
             self.give_up(id);
         }
     }
@@ -578,29 +528,28 @@
         let fade = 0.5f64.powf((self.now - self.tally_time) / TALLY_HALF_MS);
         self.tally_time = self.now;
         self.offerings.iter_mut().for_each(|o| o.tally *= fade);
-        self.tallies.iter_mut().for_each(|t| *t *= fade);
+        self.tallies.iter_mut().chain(&mut self.tenants).for_each(|t| *t *= fade);
         self.unread_ms += UNREAD_WEIGHT * (arrival.unread_ms - self.unread_ms);
-        let row = &mut self.offerings[arrival.offering];
-        row.tally += 1.0;
+        self.offerings[arrival.offering].tally += 1.0;
+        let row = &self.offerings[arrival.offering];
         let arrived = self.now - arrival.unread_ms;
-        let answer_by = arrival.gives_up_at.unwrap_or((arrived + row.hard_limit_ms).max(self.now));
+        let answer_by = arrival.gives_up_at.unwrap_or((arrived + row.terms.hard_limit_ms).max(self.now));
         let patience = answer_by - arrived;
-        let waited = match arrival.gives_up_at {
-            Some(_) if arrival.marked_repeat || !self.facts.repeats_marked => {
-                self.waited_before(arrival.caller, arrival.offering, patience)
-            }
-            _ => 0.0,
-        };
+        let mut waited = self.waited_before(arrival.caller, arrival.offering, patience);
+        if arrival.gives_up_at.is_none() || (self.facts.repeats_marked && !arrival.marked_repeat) {
+            waited = 0.0;
+        }
         let row = &self.offerings[arrival.offering];
-        let contract_end = arrived + row.contract_ms - waited;
-        let gives_up = if row.late_counts { answer_by } else { contract_end.min(answer_by) };
-        let rerunnable = row.repeats == Repeats::Rerunnable;
+        let stretch = row.terms.contract_stretch * arrival.work_hint_ms.unwrap_or(0.0);
+        let contract_ms = (row.terms.contract_ms + stretch).min(row.terms.hard_limit_ms);
+        let contract_end = arrived + contract_ms - waited;
+        let gives_up = if row.terms.late_share > 0.0 { answer_by } else { contract_end.min(answer_by) };
+        let rerunnable = row.terms.repeats == Repeats::Rerunnable;
         let invocation = Invocation {
             state: State::Held,
             offering: arrival.offering,
             footprint_kb: arrival.footprint_kb,
             hint_ms: arrival.work_hint_ms,
-            answer_by,
             give_up_at: if rerunnable { gives_up.max(self.now) } else { answer_by },
             due: 0.0,
             ran: false,
@@ -608,8 +557,8 @@
             core_ms: 0.0,
             core_clock: 0.0,
         };
-        self.memory_kb += invocation.footprint_kb;
-        self.invocations.insert(arrival.id, invocation);
+        self.hand.memory_kb += invocation.footprint_kb;
+        self.hand.invocations.insert(arrival.id, invocation);
         self.out.changes.push(Change { id: arrival.id, from: None, to: State::Held, remember_ms: None });
         self.set_due(arrival.id);
         gives_up - self.now
@@ -620,83 +569,83 @@
     /// hard limit, which tells its age. Guards against work for clients whose contract time is over (retry
     /// storms, callers restarting); harms where a caller's first waits vary by themselves.
     fn waited_before(&mut self, caller: u32, offering: usize, patience: f64) -> f64 {
-        let limit = self.offerings[offering].hard_limit_ms;
-        let usual = self.usual_waits.entry((caller, offering)).or_insert((patience, 0));
-        if (patience - usual.0).abs() < SAME_WAIT_MS {
-            usual.1 = (usual.1 + 1).min(USUAL_VOTES);
-            return 0.0;
+        let limit = self.offerings[offering].terms.hard_limit_ms;
+        if self.usual_waits.len() > CALLERS_KNOWN {
+            self.usual_waits.clear();
         }
-        usual.1 -= 1;
+        let usual = self.usual_waits.entry((caller, offering)).or_insert((patience, 0));
+        let same = (patience - usual.0).abs() < SAME_WAIT_MS;
+        usual.1 = if same { (usual.1 + 1).min(USUAL_VOTES) } else { usual.1 - 1 };
         if usual.1 < 0 {
             *usual = (patience, 1);
         }
-        if usual.1 < USUAL_VOTES / 4 {
+        if same || usual.1 < USUAL_VOTES / 4 {
             return 0.0;
         }
         (limit - patience).max(0.0)
     }
 
     fn state(&self, id: u32) -> Option<State> {
-        self.invocations.get(&id).map(|i| i.state)
+        self.hand.invocations.get(&id).map(|i| i.state)
+    }
+
+    fn ids_of(&self, which: impl Fn(&Invocation) -> bool) -> Vec<u32> {
+        self.hand.invocations.iter().filter(|(_, i)| which(i)).map(|(id, _)| *id).collect()
     }
 
     fn row(&self, id: u32) -> &Offering {
-        &self.offerings[self.invocations[&id].offering]
+        &self.offerings[self.hand.invocations[&id].offering]
     }
 
     fn set_due(&mut self, id: u32) {
-        let Some(invocation) = self.invocations.get_mut(&id) else { return };
-        self.due.remove(&(bits(invocation.due), id));
-        if matches!(invocation.state, State::Spent { .. }) {
-            return;
-        }
+        let Some(invocation) = self.hand.invocations.get_mut(&id) else { return };
+        self.hand.due.remove(&(bits(invocation.due), id));
         let stop = self.leaving.map_or(f64::MAX, |(_, stop)| stop);
-        invocation.due = invocation.give_up_at.min(invocation.answer_by).min(stop).max(self.now);
-        self.due.insert((bits(invocation.due), id));
+        invocation.due = invocation.give_up_at.min(stop).max(self.now);
+        self.hand.due.insert((bits(invocation.due), id));
     }
 
     fn remembers(&self, id: u32) -> bool {
-        self.row(id).repeats == Repeats::Ticketed
+        self.row(id).terms.repeats == Repeats::Ticketed
     }
 
     /// A ticketed invocation is remembered through its window before anything of it runs; so is a read whose
     /// answer may serve others.
     fn remember(&mut self, id: u32, arrival: &Arrival) {
-        let shares = self.facts.share_answers_ms > 0.0
-            && arrival.key != 0
-            && !arrival.writes
-            && self.row(id).repeats == Repeats::Rerunnable;
+        let rerunnable = self.row(id).terms.repeats == Repeats::Rerunnable;
+        let read = rerunnable && arrival.key != 0 && !arrival.writes;
+        let shares = read && self.facts.share_answers_ms > 0.0;
         let span = if self.remembers(id) {
-            self.row(id).window_ms
+            self.row(id).terms.ticket_window_ms
         } else if shares && self.memory_share() < MEMORY_ANSWERS {
-            self.row(id).contract_ms + self.facts.share_answers_ms
+            self.row(id).terms.contract_ms + self.facts.share_answers_ms
         } else {
             return;
         };
-        self.remembered.insert((bits(self.now + span), id));
-        self.out.changes.push(Change {
-            id,
-            from: Some(State::Held),
-            to: State::Held,
-            remember_ms: Some(span),
-        });
+        self.hand.remembered.insert((bits(self.now + span), id));
+        let held = State::Held;
+        self.out.changes.push(Change { id, from: Some(held), to: held, remember_ms: Some(span) });
     }
 
     // ---- runs and calls -----------------------------------------------------------------------------
 
-    /// Starts what is held, the most revenue first, then the earliest due; what can't make it is dismissed.
+    /// The order of the hold and of calls: the most revenue first, then the earliest due.
+    fn first_of(&self, state: State) -> Option<u32> {
+        let waiting = self.hand.invocations.iter().filter(|(_, i)| i.state == state);
+        let first = waiting.max_by(|(_, a), (_, b)| {
+            let revenue = |i: &Invocation| self.offerings[i.offering].terms.revenue;
+            revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
+        });
+        first.map(|(id, _)| *id)
+    }
+
     fn run_held(&mut self) {
         loop {
             let (_, hard) = self.quotas();
-            if self.load() >= hard || self.at_call as f64 >= self.at_call_most() {
+            if self.load() >= hard || self.hand.at_call as f64 >= self.at_call_most() {
                 return;
             }
-            let held = self.invocations.iter().filter(|(_, i)| i.state == State::Held);
-            let best = held.max_by(|(_, a), (_, b)| {
-                let revenue = |i: &Invocation| self.offerings[i.offering].revenue;
-                revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
-            });
-            let Some((&id, _)) = best else { return };
+            let Some(id) = self.first_of(State::Held) else { return };
             if !self.memory_allows(id) {
                 return;
             }
@@ -706,19 +655,14 @@
 
     fn place_calls(&mut self) {
         loop {
-            let in_hand = (self.calls_out + self.lingering.len()) as f64;
+            let in_hand = (self.hand.calls_out + self.hand.lingering.len()) as f64;
             let share = self.facts.call_share.unwrap_or(f64::MAX);
-            let spent = share < 1.0 && self.calls_mean > CALLS_OF_SHARE * share;
+            let spent = share < 1.0 && self.hand.calls_mean > CALLS_OF_SHARE * share;
             if in_hand + 1.0 > self.calls_most || spent || self.now < self.calls_after {
                 return;
             }
-            let waiting = self.invocations.iter().filter(|(_, i)| i.state == State::AtCall);
-            let best = waiting.max_by(|(_, a), (_, b)| {
-                let revenue = |i: &Invocation| self.offerings[i.offering].revenue;
-                revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
-            });
-            let Some((&id, invocation)) = best else { return };
-            let within_ms = (invocation.due - self.now).max(1.0);
+            let Some(id) = self.first_of(State::AtCall) else { return };
+            let within_ms = (self.hand.invocations[&id].due - self.now).max(1.0);
             self.change(id, State::Calling { within_ms });
         }
     }
@@ -747,9 +691,9 @@
 
     /// Nothing more is hoped for: the answer goes out at once.
     fn give_up(&mut self, id: u32) {
-        let Some(invocation) = self.invocations.get(&id) else { return };
+        let Some(invocation) = self.hand.invocations.get(&id) else { return };
         let may_have_run = invocation.ran || invocation.state == State::Joined;
-        if may_have_run && self.row(id).repeats != Repeats::Rerunnable {
+        if may_have_run && self.row(id).terms.repeats != Repeats::Rerunnable {
             self.finish(id, Ending::Scrapped);
             return;
         }
@@ -775,22 +719,18 @@
 
     /// Gives the final answer; work of it that still runs is stopped where it may be.
     fn finish(&mut self, id: u32, ending: Ending) {
-        let rerunnable = self.row(id).repeats == Repeats::Rerunnable;
-        let answered = |stop| State::Spent { ending, stop };
-        match self.invocations[&id].state {
+        let rerunnable = self.row(id).terms.repeats == Repeats::Rerunnable;
+        match self.hand.invocations[&id].state {
             State::Spent { .. } | State::Ended(_) => {}
             State::Held | State::Joined => self.change(id, State::Ended(ending)),
-            State::Running => self.change(id, answered(rerunnable)),
-            State::AtCall | State::Calling { .. } => self.change(id, answered(false)),
+            from => self.change(id, State::Spent { ending, stop: rerunnable && from == State::Running }),
         }
     }
 
     /// Work that was told to stop while the cores stood still is told again.
     fn stop_spent(&mut self) {
-        let again = |i: &Invocation| matches!(i.state, State::Spent { stop: true, .. });
-        let ids: Vec<u32> = self.invocations.iter().filter(|(_, i)| again(i)).map(|(id, _)| *id).collect();
-        for id in ids {
-            self.change(id, self.invocations[&id].state);
+        for id in self.ids_of(|i| matches!(i.state, State::Spent { stop: true, .. })) {
+            self.change(id, self.hand.invocations[&id].state);
         }
     }
 
@@ -801,26 +741,22 @@
         if gone != self.away_told {
             self.away_told = gone;
             self.out.words.fit = Some(!gone);
-            let cause = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
-            let note = if gone { format!("stay away: {cause}") } else { "well again".to_string() };
-            self.out.words.notes.push(note);
-        }
-        if self.ease < 1.0 - 1.0 / f64::from(STEPS) {
-            self.share = (self.share * (1.0 - SHARE_DOWN * (1.0 - self.ease))).max(SHARE_LEAST);
-        } else {
-            self.share = (self.share + SHARE_UP).min(1.0);
+            let cause = if self.leaving.is_some() { "leaving" } else { "sick: runs fail or do not end" };
+            self.out.words.notes.push(if gone { cause } else { "well again" }.to_string());
         }
+        let cut = 1.0 - self.ease;
+        let easy = cut <= 1.0 / f64::from(STEPS);
+        let share = if easy { self.share + SHARE_UP } else { self.share * (1.0 - SHARE_DOWN * cut) };
+        self.share = share.clamp(SHARE_LEAST, 1.0);
         let level = match self.facts.advice {
             AdviceMeaning::Nothing => return,
             AdviceMeaning::LowestRank if gone => 1.0,
+            _ if gone => 0.0,
             AdviceMeaning::LowestRank => {
-                let cut = (0..self.offerings.len())
-                    .filter(|o| self.kept_of(self.place_in_order(*o, false), self.ease) <= 0.0);
-                cut.map(|o| self.offerings[o].ranks_to).fold(0.0, f64::max)
+                let kept = |o: &Offering| self.kept_of(self.buckets + o.bucket, self.ease);
+                self.offerings.iter().filter(|o| kept(o) <= 0.0).map(|o| o.ranks_to).fold(0.0, f64::max)
             }
-            AdviceMeaning::OutstandingPerCaller if gone => 0.0,
             AdviceMeaning::OutstandingPerCaller => self.facts.cores * self.quotas().1 / self.facts.callers,
-            AdviceMeaning::ShareOfUsual if gone => 0.0,
             AdviceMeaning::ShareOfUsual => self.share,
         };
         if (level - self.advised).abs() > 0.02 {
@@ -832,47 +768,46 @@
     // ---- the one place where states change ----------------------------------------------------------
 
     fn change(&mut self, id: u32, to: State) {
-        let Some(invocation) = self.invocations.get_mut(&id) else { return };
+        let Some(invocation) = self.hand.invocations.get_mut(&id) else { return };
         let from = invocation.state;
         let runs = |s: State| matches!(s, State::Running | State::Spent { .. });
         let calls = |s: State| matches!(s, State::AtCall | State::Calling { .. });
         if runs(from) {
-            invocation.core_ms += self.core_clock - invocation.core_clock;
+            invocation.core_ms += self.hand.core_clock - invocation.core_clock;
+        }
+        invocation.core_clock = self.hand.core_clock;
+        if self.hand.on_core < SILENT_RUNS {
+            self.last_end = self.now;
         }
-        invocation.core_clock = self.core_clock;
-        self.on_core = self.on_core + usize::from(runs(to)) - usize::from(runs(from));
-        self.at_call = self.at_call + usize::from(calls(to)) - usize::from(calls(from));
+        self.hand.on_core = self.hand.on_core + usize::from(runs(to)) - usize::from(runs(from));
+        self.hand.at_call = self.hand.at_call + usize::from(calls(to)) - usize::from(calls(from));
         let out = |s: State| usize::from(matches!(s, State::Calling { .. }));
-        self.calls_out = self.calls_out + out(to) - out(from);
+        self.hand.calls_out = self.hand.calls_out + out(to) - out(from);
         if out(from) > out(to) && matches!(to, State::Spent { .. }) {
-            self.lingering.push(self.now + self.facts.call_linger_ms);
+            self.hand.lingering.push(self.now + self.facts.call_linger_ms);
         }
         let weight = |s: State| match s {
             State::Ended(_) => 0.0,
             s if runs(s) || calls(s) => self.facts.run_factor,
             _ => 1.0,
         };
-        self.memory_kb += (weight(to) - weight(from)) * invocation.footprint_kb;
+        self.hand.memory_kb += (weight(to) - weight(from)) * invocation.footprint_kb;
         invocation.state = to;
         invocation.ran |= to == State::Running;
         if matches!(to, State::Calling { .. }) {
             invocation.call_began = self.now;
         }
         self.out.changes.push(Change { id, from: Some(from), to, remember_ms: None });
-        match to {
-            State::Ended(_) => {
-                self.due.remove(&(bits(invocation.due), id));
-                self.invocations.remove(&id);
-            }
-            State::Spent { .. } => {
-                self.due.remove(&(bits(invocation.due), id));
-            }
-            _ => {}
+        if matches!(to, State::Ended(_) | State::Spent { .. }) {
+            self.hand.due.remove(&(bits(invocation.due), id));
+        }
+        if matches!(to, State::Ended(_)) {
+            self.hand.invocations.remove(&id);
         }
     }
 
     fn result(&mut self) -> Outcome {
-        if let Some(&(time, _)) = self.due.first() {
+        if let Some(&(time, _)) = self.hand.due.first() {
             let at = f64::from_bits(time);
             if at < self.woken_for {
                 self.woken_for = at;
