--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -191,3 +191,6 @@
         Ending::Succeeded | Ending::RunFailed | Ending::CallerGone => {}
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -1,25 +1,34 @@
 use super::*;
 
-fn facts() -> StartFacts {
-    let offering = |revenue| OfferingTerms {
+fn offering(revenue: f64, repeats: Repeats) -> OfferingTerms {
+    OfferingTerms {
         contract_ms: 1000.0,
         contract_stretch: 0.0,
         hard_limit_ms: 3000.0,
         ticket_window_ms: 5000.0,
-        repeats: Repeats::Rerunnable,
+        repeats,
         revenue,
         late_share: 0.0,
         skip_share: 0.0,
-    };
+    }
+}
+
+/// Two rerunnable offerings, of revenue 1 and 5, then a ticketed and an exclusive one.
+fn facts() -> StartFacts {
     StartFacts {
         seed: 7,
-        offerings: vec![offering(1.0), offering(5.0)],
+        offerings: vec![
+            offering(1.0, Repeats::Rerunnable),
+            offering(5.0, Repeats::Rerunnable),
+            offering(5.0, Repeats::Ticketed),
+            offering(5.0, Repeats::Exclusive),
+        ],
         tenant_quotas: vec![],
-        cores: 2.0,
+        cores: 4.0,
         memory_kb: 10_000.0,
         run_factor: 8.0,
         entry_kb: 10.0,
-        call_share: Some(2.0),
+        call_share: Some(3.0),
         call_span_ms: 1000.0,
         call_linger_ms: 200.0,
         halting: Halting::Abort,
@@ -29,7 +38,7 @@
         repeats_marked: false,
         just_started: false,
         cold_speed: 0.2,
-        warm_within_ms: 10_000.0,
+        warm_within_ms: 8000.0,
         tip_multiple: 8.0,
         grace_ms: 500.0,
         cool_down_most_ms: 1000.0,
@@ -37,6 +46,10 @@
     }
 }
 
+fn started(facts: StartFacts) -> Backend {
+    Backend::start(0.0, facts).0
+}
+
 fn arrival(id: u32, offering: usize) -> Arrival {
     Arrival {
         id,
@@ -55,18 +68,345 @@
     }
 }
 
-fn last_state(outcome: &Outcome) -> State {
+/// A backend with so many runs of the second offering, ids from 1000.
+fn running(count: u32) -> Backend {
+    let mut backend = started(facts());
+    for id in 1000..1000 + count {
+        backend.take_in(&arrival(id, 1));
+        backend.change(id, State::Running);
+    }
+    backend.out = Outcome::default();
+    backend
+}
+
+fn last(outcome: &Outcome) -> State {
     outcome.changes.last().expect("a change of state").to
 }
 
+fn dismissed(outcome: &Outcome) -> bool {
+    matches!(last(outcome), State::Ended(Ending::Dismissed { .. }))
+}
+
+/// Dismissals among a cycle of arrivals of an offering at a part let in that does not change.
+fn cut_of_twenty(backend: &mut Backend, place: usize, part: f64) -> usize {
+    let kept = backend.kept_of(place, part);
+    (0..STEPS).filter(|counter| f64::from(*counter) >= kept * f64::from(STEPS)).count()
+}
+
+#[test]
+fn the_part_let_in_falls_by_steps_from_soft_to_hard() {
+    let (soft, hard) = running(0).quotas();
+    assert!(soft >= 1.0 && hard > soft);
+    let mut parts: Vec<f64> = (0..12).map(|runs| running(runs).part_let_in()).collect();
+    assert_eq!(parts[4], 1.0);
+    assert!(parts[6] < 1.0 && parts[6] > 0.0 && (parts[6] * f64::from(STEPS)).fract() == 0.0);
+    assert_eq!(parts[10], 0.0);
+    parts.reverse();
+    assert!(parts.is_sorted());
+}
+
+#[test]
+fn at_the_hard_quota_every_arrival_is_dismissed_early_with_a_time_to_come_back() {
+    let outcome = running(10).arrived(0.0, arrival(1, 1));
+    let State::Ended(Ending::Dismissed { cool_down_ms, elsewhere_helps }) = last(&outcome) else {
+        panic!("not dismissed: {outcome:?}")
+    };
+    assert!(cool_down_ms > 0.0 && cool_down_ms <= 1000.0 && elsewhere_helps);
+}
+
+#[test]
+fn the_lowest_rank_is_cut_first_and_the_counter_picks_among_equals() {
+    let mut backend = started(facts());
+    backend.tallies = vec![0.0, 0.0, 60.0, 40.0];
+    assert_eq!(cut_of_twenty(&mut backend, 2, 0.7), 10);
+    assert_eq!(cut_of_twenty(&mut backend, 3, 0.7), 0);
+    assert_eq!(cut_of_twenty(&mut backend, 2, 0.2), 20);
+    assert_eq!(cut_of_twenty(&mut backend, 3, 0.2), 10);
+}
+
+#[test]
+fn tenants_over_quota_are_cut_before_the_lowest_rank() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![40.0, 40.0], ..facts() });
+    backend.tenants = vec![100.0, 10.0];
+    assert!(backend.tenant_over_quota(0) && !backend.tenant_over_quota(1));
+    backend.tallies = vec![10.0, 20.0, 30.0, 40.0];
+    assert_eq!(cut_of_twenty(&mut backend, 1, 0.7), 20);
+    assert_eq!(cut_of_twenty(&mut backend, 2, 0.7), 0);
+}
+
+#[test]
+fn idle_cores_open_the_soft_band_but_not_the_hard_quota() {
+    let mut backend = running(7);
+    assert!(backend.part_let_in() < 1.0);
+    backend.busy = 0.5;
+    assert_eq!(backend.part_let_in(), 1.0);
+    let mut full = running(10);
+    full.busy = 0.5;
+    assert_eq!(full.part_let_in(), 0.0);
+}
+
+#[test]
+fn the_hard_quota_rises_by_steps_from_cold_and_stays_under_the_survivable_crowd() {
+    let mut backend = started(StartFacts { just_started: true, ..facts() });
+    let mut last = 0.0;
+    for at in [0.0, 900.0, 1100.0, 4000.0, 8000.0, 20_000.0] {
+        backend.now = at;
+        let (_, hard) = backend.quotas();
+        assert!(hard >= last && hard <= 1.0 + 7.0 * backend.warmth());
+        last = hard;
+    }
+    assert!(last > 2.0);
+    backend.now = 900.0;
+    assert_eq!(backend.warmth(), 0.2);
+}
+
+#[test]
+fn expired_work_is_shed_before_all_else() {
+    let late = Arrival { unread_ms: 1100.0, ..arrival(1, 1) };
+    let outcome = running(0).arrived(0.0, late);
+    assert!(matches!(last(&outcome), State::Ended(Ending::Dismissed { elsewhere_helps: false, .. })));
+}
+
+#[test]
+fn a_try_that_waits_for_the_rest_of_its_limit_tells_its_age() {
+    let mut backend = started(facts());
+    (0..20).for_each(|_| assert_eq!(backend.waited_before(1, 0, 1500.0), 0.0));
+    assert_eq!(backend.waited_before(1, 0, 2600.0), 400.0);
+    assert_eq!(backend.waited_before(2, 0, 2600.0), 0.0);
+}
+
+#[test]
+fn a_lone_run_that_seems_too_late_is_tried_but_not_beside_others() {
+    let slow = |backend: &mut Backend| {
+        let row = &mut backend.offerings[1];
+        (row.runs, row.core_ms) = (5.0, 5.0 * 5000.0);
+    };
+    let mut alone = running(0);
+    slow(&mut alone);
+    assert_eq!(last(&alone.arrived(0.0, arrival(1, 1))), State::Running);
+    let mut crowded = running(1);
+    slow(&mut crowded);
+    assert!(dismissed(&crowded.arrived(0.0, arrival(1, 1))));
+}
+
+#[test]
+fn arrivals_that_lie_unread_shrink_the_crowd() {
+    let mut backend = running(0);
+    let row = &mut backend.offerings[1];
+    (row.runs, row.core_ms, row.tally) = (10.0, 10.0 * 200.0, 10.0);
+    let before = backend.quotas().1;
+    backend.unread_ms = 150.0;
+    assert!(backend.quotas().1 < before);
+}
+
+#[test]
+fn in_a_storm_a_dismissal_asks_not_to_try_elsewhere() {
+    let mut backend = running(10);
+    backend.unread_ms = 500.0;
+    let outcome = backend.arrived(0.0, arrival(1, 1));
+    let ending = Ending::Dismissed { cool_down_ms: 750.0, elsewhere_helps: false };
+    assert_eq!(last(&outcome), State::Ended(ending));
+}
+
+#[test]
+fn what_runs_is_answered_and_stopped_at_its_contract_time() {
+    let mut backend = running(1);
+    let outcome = backend.woke(1000.0, Wake::Due, Gauges::default());
+    assert!(matches!(last(&outcome), State::Spent { ending: Ending::Dismissed { .. }, stop: true }));
+    assert!(matches!(last(&backend.run_ended(1001.0, 1000, RunEnd::Stopped)), State::Ended(_)));
+    assert!(backend.hand.invocations.is_empty() && backend.hand.memory_kb == 0.0);
+}
+
+#[test]
+fn ticketed_and_exclusive_runs_are_scrapped_at_the_hard_limit_and_never_stopped() {
+    for offering in [2, 3] {
+        let mut backend = started(facts());
+        backend.arrived(0.0, arrival(1, offering));
+        assert!(backend.woke(2999.0, Wake::Due, Gauges::default()).changes.is_empty());
+        let outcome = backend.woke(3000.0, Wake::Due, Gauges::default());
+        assert_eq!(last(&outcome), State::Spent { ending: Ending::Scrapped, stop: false });
+    }
+}
+
+#[test]
+fn work_that_did_not_stop_is_told_again() {
+    let mut backend = running(1);
+    backend.woke(1000.0, Wake::Due, Gauges::default());
+    let outcome = backend.woke(1100.0, Wake::Periodic, Gauges::default());
+    assert!(matches!(last(&outcome), State::Spent { stop: true, .. }));
+}
+
+#[test]
+fn without_a_deadline_the_hard_limit_counts_from_the_arrival() {
+    let mut backend = started(facts());
+    let told_none = Arrival { gives_up_at: None, unread_ms: 200.0, ..arrival(1, 3) };
+    let outcome = backend.arrived(300.0, told_none);
+    assert!(outcome.words.wakes.contains(&(2800.0, Wake::Due)));
+}
+
+#[test]
+fn a_ticketed_invocation_is_remembered_and_its_repeat_joins_it() {
+    let mut backend = started(facts());
+    let first = backend.arrived(0.0, arrival(1, 2));
+    assert!(first.changes.iter().any(|c| c.remember_ms == Some(5000.0)));
+    assert_eq!(last(&first), State::Running);
+    let repeat = backend.arrived(10.0, Arrival { original: Some(1), ..arrival(2, 2) });
+    assert_eq!(last(&repeat), State::Joined);
+    let answered = backend.run_ended(20.0, 2, RunEnd::Ok);
+    assert_eq!(last(&answered), State::Ended(Ending::Succeeded));
+    let overdue = Arrival { original: Some(1), gives_up_at: Some(30.0), ..arrival(3, 2) };
+    backend.arrived(25.0, overdue);
+    let outcome = backend.woke(30.0, Wake::Due, Gauges::default());
+    assert_eq!(last(&outcome), State::Ended(Ending::Scrapped));
+}
+
+#[test]
+fn reads_share_answers_only_where_told() {
+    let read = Arrival { key: 9, ..arrival(1, 0) };
+    let mut shares = started(StartFacts { share_answers_ms: 500.0, ..facts() });
+    assert!(shares.arrived(0.0, read).changes.iter().any(|c| c.remember_ms.is_some()));
+    assert!(started(facts()).arrived(0.0, read).changes.iter().all(|c| c.remember_ms.is_none()));
+}
+
+#[test]
+fn nothing_past_the_grace_is_run_and_all_is_answered_before_the_stop() {
+    let mut backend = started(facts());
+    backend.arrived(0.0, arrival(1, 3));
+    let outcome = backend.told_to_leave(100.0, 2000.0);
+    assert_eq!((outcome.words.fit, outcome.words.advice), (Some(false), Some(1.0)));
+    assert_eq!(last(&backend.arrived(600.0, arrival(2, 1))), State::Running);
+    assert!(dismissed(&backend.arrived(650.0, Arrival { unread_ms: 40.0, ..arrival(3, 1) })));
+    let outcome = backend.woke(1960.0, Wake::Due, Gauges::default());
+    assert_eq!(outcome.changes.len(), 2);
+    assert!(backend.ids_of(|i| !matches!(i.state, State::Spent { .. })).is_empty());
+}
+
+#[test]
+fn memory_is_never_filled() {
+    let mut backend = started(StartFacts { memory_kb: 400.0, ..facts() });
+    for id in 1..40 {
+        backend.arrived(0.0, arrival(id, 2));
+        let repeat = Arrival { original: Some(1), footprint_kb: 30.0, ..arrival(100 + id, 2) };
+        backend.arrived(0.0, repeat);
+    }
+    assert!(backend.memory_share() < 1.0 && backend.hand.on_core > 0);
+}
+
+#[test]
+fn calls_in_hand_stay_under_the_told_share_with_those_that_linger() {
+    let mut backend = running(4);
+    (1000..1004).for_each(|id| drop(backend.wants_call(1.0, id)));
+    assert_eq!((backend.hand.calls_out, backend.hand.at_call), (2, 4));
+    backend.caller_gone(2.0, 1000);
+    assert_eq!((backend.hand.calls_out, backend.hand.lingering.len()), (1, 1));
+}
+
 #[test]
-fn at_the_hard_quota_every_arrival_is_dismissed() {
-    let (mut backend, _) = Backend::start(0.0, facts());
-    let mut id = 1;
-    while backend.load() < backend.quotas().1 {
-        backend.arrived(0.0, arrival(id, 1));
-        id += 1;
+fn a_call_is_repeated_only_where_that_does_no_harm() {
+    let mut backend = started(facts());
+    for (id, offering) in [(1, 0), (2, 3), (3, 3)] {
+        backend.arrived(0.0, arrival(id, offering));
+        backend.change(id, State::Calling { within_ms: 10.0 });
     }
-    let outcome = backend.arrived(0.0, arrival(id, 1));
-    assert!(matches!(last_state(&outcome), State::Ended(Ending::Dismissed { .. })));
+    backend.out = Outcome::default();
+    assert_eq!(last(&backend.call_ended(1.0, 1, CallEnd::PerhapsRun)), State::AtCall);
+    assert_eq!(last(&backend.call_ended(1.0, 2, CallEnd::ProvenNotRun)), State::AtCall);
+    let scrapped = State::Spent { ending: Ending::Scrapped, stop: false };
+    assert_eq!(last(&backend.call_ended(1.0, 3, CallEnd::PerhapsRun)), scrapped);
+}
+
+#[test]
+fn calls_pause_after_a_failure_and_shrink() {
+    let mut backend = running(1);
+    backend.wants_call(0.0, 1000);
+    let most = backend.calls_most;
+    let outcome = backend.call_ended(1.0, 1000, CallEnd::ProvenNotRun);
+    assert_eq!(last(&outcome), State::AtCall);
+    assert!(backend.calls_most < most);
+    let outcome = backend.woke(100.0, Wake::Periodic, Gauges::default());
+    assert!(matches!(last(&outcome), State::Calling { .. }));
+}
+
+#[test]
+fn a_call_that_may_be_left_out_is_skipped_when_it_fails() {
+    let mut backend = running(1);
+    backend.offerings[1].terms.skip_share = 0.5;
+    backend.wants_call(0.0, 1000);
+    assert_eq!(last(&backend.call_ended(1.0, 1000, CallEnd::GivenUp)), State::Running);
+}
+
+#[test]
+fn those_at_calls_have_a_bound_of_their_own() {
+    let mut backend = running(6);
+    (1000..1006).for_each(|id| backend.change(id, State::AtCall));
+    assert_eq!(backend.load(), 0.0);
+    assert_eq!(backend.part_let_in(), 0.0);
+}
+
+#[test]
+fn runs_that_fail_or_do_not_end_make_a_backend_sick_until_a_probe_ends_well() {
+    let mut backend = running(6);
+    backend.offerings[1].runs = 5.0;
+    backend.offerings[1].core_ms = 5.0 * 50.0;
+    backend.now = 50.0;
+    assert!(!backend.sick());
+    let outcome = backend.woke(400.0, Wake::Periodic, Gauges::default());
+    assert_eq!((outcome.words.fit, outcome.words.advice), (Some(false), Some(1.0)));
+    assert!(dismissed(&backend.arrived(401.0, arrival(1, 1))));
+    backend.run_ended(402.0, 1000, RunEnd::Ok);
+    assert!(!backend.sick());
+    (1001..1006).for_each(|id| drop(backend.run_ended(403.0, id, RunEnd::Error)));
+    assert!(backend.sick());
+    assert_eq!(last(&backend.arrived(404.0, arrival(2, 1))), State::Running);
+}
+
+#[test]
+fn a_run_that_was_given_up_teaches_that_runs_are_long() {
+    let mut backend = running(1);
+    backend.woke(1000.0, Wake::Due, Gauges::default());
+    assert_eq!((backend.offerings[1].runs, backend.offerings[1].core_ms), (1.0, 1000.0));
+}
+
+#[test]
+fn a_superseded_wake_arms_no_other() {
+    let mut backend = started(facts());
+    backend.arrived(0.0, arrival(1, 3));
+    backend.arrived(0.0, Arrival { gives_up_at: Some(500.0), ..arrival(2, 3) });
+    let due = |outcome: Outcome| outcome.words.wakes.iter().filter(|w| w.1 == Wake::Due).count();
+    assert_eq!(due(backend.woke(500.0, Wake::Due, Gauges::default())), 1);
+    assert_eq!(due(backend.woke(700.0, Wake::Due, Gauges::default())), 0);
+}
+
+#[test]
+fn advice_follows_its_meaning() {
+    let said = |advice, ease| {
+        let mut backend = started(StartFacts { advice, ..facts() });
+        backend.tallies = vec![0.0, 0.0, 50.0, 50.0];
+        backend.ease = ease;
+        backend.advise();
+        backend.out.words.advice
+    };
+    assert_eq!(said(AdviceMeaning::Nothing, 0.4), None);
+    assert_eq!(said(AdviceMeaning::LowestRank, 0.4), Some(0.25));
+    assert_eq!(said(AdviceMeaning::LowestRank, 0.9), Some(0.0));
+    assert_eq!(said(AdviceMeaning::OutstandingPerCaller, 1.0), Some(5.0));
+    assert!(said(AdviceMeaning::ShareOfUsual, 0.4).is_some_and(|share| share < 1.0));
+}
+
+#[test]
+fn the_same_events_give_the_same_results() {
+    let day = || {
+        let mut backend = started(facts());
+        let mut all = Vec::new();
+        for step in 0..200u32 {
+            let now = f64::from(step) * 10.0;
+            let due = Some(now + 900.0);
+            let new = Arrival { gives_up_at: due, ..arrival(step + 1, step as usize % 4) };
+            all.push(backend.arrived(now, new));
+            all.push(backend.run_ended(now, step / 2, RunEnd::Ok));
+            all.push(backend.woke(now, Wake::Periodic, Gauges::default()));
+        }
+        all
+    };
+    assert_eq!(day(), day());
 }
