--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,7 +31,9 @@
 const TALLY_HALF_MS: f64 = 2000.0;
 const PERIOD_MS: f64 = 100.0;
 /// A run is not begun when this part of its foreseen time is more than what is left.
-const FORESEEN_PART: f64 = 0.7;
+const FORESEEN_PART: f64 = 1.0;
+/// Another server may be so much quicker.
+const QUICKER_PART: f64 = 0.5;
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
@@ -52,7 +54,8 @@
 const FAILING_WEIGHT: f64 = 0.1;
 const FAILING_SHARE: f64 = 0.3;
 const SILENT_RUNS: usize = 4;
-const SILENT_TIMES: f64 = 8.0;
+const SILENT_TIMES: f64 = 10.0;
+const KNOWN_RUNS: f64 = 8.0;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
 /// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
@@ -240,7 +243,9 @@
         // Expired work is shed before anything else: it can't be answered in its contract time.
         let foreseen = FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
         if left <= 0.0 || (left < foreseen && self.others_run(id)) {
-            self.dismiss(id, 0.0, false);
+            // A quicker server may still make it.
+            let elsewhere = left > QUICKER_PART * foreseen && self.unread_ms < STORM_UNREAD_MS;
+            self.dismiss(id, 0.0, elsewhere);
             return self.result();
         }
         // After the notice and its grace nothing is run.
@@ -498,7 +503,7 @@
         let mean_ms = sum(|o| o.core_ms) / runs.max(1.0) / self.awake.max(0.2);
         let every_ms = mean_ms / (self.hand.on_core as f64).min(self.facts.cores).max(1.0);
         let silent = self.hand.on_core >= SILENT_RUNS && self.now - self.last_end > SILENT_TIMES * every_ms;
-        self.failing > FAILING_SHARE || (silent && runs >= 3.0)
+        self.failing > FAILING_SHARE || (silent && runs >= KNOWN_RUNS)
     }
 
     /// With nothing of its kind running, one that seems too late is tried: what was foreseen may be outdated.
