--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 /// time; never over HARD_OF_SURVIVABLE of the crowd that it survives. HARD_FIRST serves before any run ended.
 const PACE: f64 = 0.6;
 const HARD_FIRST: f64 = 2.5;
-/// So many times the wait unread of late is taken off the contract time that the hard quota is paced by.
+/// So many times the wait unread of late comes off the contract time that paces the hard quota.
 const UNREAD_TAKEN: f64 = 4.0;
 const UNREAD_WEIGHT: f64 = 0.1;
 /// Where arrivals lie unread for longer, a dismissed one had better not try elsewhere at once.
@@ -41,7 +41,6 @@
 /// Memory that runs, and that repeats which wait for another's answer may fill; the rest is for what is read.
 const MEMORY_RUN: f64 = 0.80;
 const MEMORY_HOLD: f64 = 0.85;
-const MEMORY_ANSWERS: f64 = 0.5;
 /// Before the process is stopped, all is answered so long ahead.
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
@@ -243,9 +242,8 @@
         // Expired work is shed before anything else: it can't be answered in its contract time.
         let foreseen = FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
         if left <= 0.0 || (left < foreseen && self.others_run(id)) {
-            // A quicker server may still make it.
-            let elsewhere = left > QUICKER_PART * foreseen && self.unread_ms < STORM_UNREAD_MS;
-            self.dismiss(id, 0.0, elsewhere);
+            let quicker_may = left > QUICKER_PART * foreseen && self.unread_ms < STORM_UNREAD_MS;
+            self.dismiss(id, 0.0, quicker_may);
             return self.result();
         }
         // After the notice and its grace nothing is run.
@@ -388,20 +386,18 @@
         facts.cold_speed + (1.0 - facts.cold_speed) * step.min(1.0)
     }
 
-    fn survivable(&self) -> f64 {
-        1.0 + (self.facts.tip_multiple - 1.0) * self.warmth()
-    }
-
     /// The soft and the hard quota, in runs a core; the hard one's ceiling rises from cold to warm.
     fn quotas(&self) -> (f64, f64) {
+        let survivable = 1.0 + (self.facts.tip_multiple - 1.0) * self.warmth();
         let wanted = self.paced_crowd().unwrap_or(HARD_FIRST * self.warmth());
-        let hard = wanted.min(HARD_OF_SURVIVABLE * self.survivable()).max(1.0 + 1.0 / self.facts.cores);
+        let hard = wanted.min(HARD_OF_SURVIVABLE * survivable).max(1.0 + 1.0 / self.facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
 
     /// All that stands at calls may come back to the cores at once, beside as many runs as the quota lets in.
     fn at_call_most(&self) -> f64 {
-        let room = CALLERS_BACK * self.survivable() - self.quotas().1;
+        let survivable = 1.0 + (self.facts.tip_multiple - 1.0) * self.warmth();
+        let room = CALLERS_BACK * survivable - self.quotas().1;
         (self.facts.cores * room.min(AT_CALL_HARD)).max(1.0)
     }
 
@@ -622,7 +618,7 @@
         let shares = read && self.facts.share_answers_ms > 0.0;
         let span = if self.remembers(id) {
             self.row(id).terms.ticket_window_ms
-        } else if shares && self.memory_share() < MEMORY_ANSWERS {
+        } else if shares && self.memory_share() < 0.5 * MEMORY_RUN {
             self.row(id).terms.contract_ms + self.facts.share_answers_ms
         } else {
             return;
@@ -636,11 +632,10 @@
 
     /// The order of the hold and of calls: the most revenue first, then the earliest due.
     fn first_of(&self, state: State) -> Option<u32> {
+        let revenue = |i: &Invocation| self.offerings[i.offering].terms.revenue;
         let waiting = self.hand.invocations.iter().filter(|(_, i)| i.state == state);
-        let first = waiting.max_by(|(_, a), (_, b)| {
-            let revenue = |i: &Invocation| self.offerings[i.offering].terms.revenue;
-            revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due))
-        });
+        let first =
+            waiting.max_by(|(_, a), (_, b)| revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due)));
         first.map(|(id, _)| *id)
     }
 
@@ -799,9 +794,7 @@
         self.hand.memory_kb += (weight(to) - weight(from)) * invocation.footprint_kb;
         invocation.state = to;
         invocation.ran |= to == State::Running;
-        if matches!(to, State::Calling { .. }) {
-            invocation.call_began = self.now;
-        }
+        invocation.call_began = if out(to) > 0 { self.now } else { invocation.call_began };
         self.out.changes.push(Change { id, from: Some(from), to, remember_ms: None });
         if matches!(to, State::Ended(_) | State::Spent { .. }) {
             self.hand.due.remove(&(bits(invocation.due), id));
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -346,8 +346,8 @@
 #[test]
 fn runs_that_fail_or_do_not_end_make_a_backend_sick_until_a_probe_ends_well() {
     let mut backend = running(6);
-    backend.offerings[1].runs = 5.0;
-    backend.offerings[1].core_ms = 5.0 * 50.0;
+    backend.offerings[1].runs = 10.0;
+    backend.offerings[1].core_ms = 10.0 * 50.0;
     backend.now = 50.0;
     assert!(!backend.sick());
     let outcome = backend.woke(400.0, Wake::Periodic, Gauges::default());
