--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,9 @@
 /// So many times the wait unread of late comes off the contract time that paces the hard quota.
 const UNREAD_TAKEN: f64 = 4.0;
 const UNREAD_WEIGHT: f64 = 0.1;
+const UNREAD_FADES: f64 = 0.97;
+/// At this part of the least contract time unread, callers are advised to send nothing.
+const UNREAD_CLOSES: f64 = 0.5;
 /// Where arrivals lie unread for longer, a dismissed one had better not try elsewhere at once.
 const STORM_UNREAD_MS: f64 = 100.0;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
@@ -243,7 +246,7 @@
         let foreseen = FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
         if left <= 0.0 || (left < foreseen && self.others_run(id)) {
             let quicker_may = left > QUICKER_PART * foreseen && self.unread_ms < STORM_UNREAD_MS;
-            self.dismiss(id, 0.0, quicker_may);
+            self.dismiss(id, self.unread_ms, quicker_may);
             return self.result();
         }
         // After the notice and its grace nothing is run.
@@ -359,7 +362,10 @@
             if self.hand.on_core > 0 {
                 self.awake += SMOOTH * (awake.unwrap_or(1.0).min(1.0) - self.awake);
             }
-            self.ease += SMOOTH * (self.part_let_in() - self.ease);
+            self.unread_ms *= UNREAD_FADES;
+            let contract_ms = self.offerings.iter().map(|o| o.terms.contract_ms).fold(f64::MAX, f64::min);
+            let read_in_time = (1.0 - self.unread_ms / (UNREAD_CLOSES * contract_ms)).max(0.0);
+            self.ease += SMOOTH * (self.part_let_in() * read_in_time - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
         } else if now + 0.01 >= self.woken_for {
