--- a/crates/plovershelf-wirehost/src/facts.rs
+++ b/crates/plovershelf-wirehost/src/facts.rs
@@ -65,7 +65,6 @@
         run_factor: number(own, "run_factor", 1.0),
         entry_kb: number(own, "entry_kb", 0.0),
         call_share: (own["below"].as_str() == Some("shared")).then(|| number(own, "dep_share", 1.0)),
-        call_span_ms: number(own, "calls_over_ms", 1.0),
         call_linger_ms: number(own, "linger_ms", 0.0),
         halting: match own["halt"].as_str() {
             Some("abort") => Halting::Abort,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -59,7 +59,6 @@
     pub entry_kb: f64,
     /// Mean number of calls in hand that this backend may add to the shared dependency.
     pub call_share: Option<f64>,
-    pub call_span_ms: f64,
     pub call_linger_ms: f64,
     pub halting: Halting,
     pub advice: AdviceMeaning,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
-const CALLERS_KNOWN: usize = 2000;
+const CALLERS_KNOWN: u32 = 2000;
 /// Memory that runs, and that repeats which wait for another's answer may fill; the rest is for what is read.
 const MEMORY_RUN: f64 = 0.80;
 const MEMORY_HOLD: f64 = 0.85;
@@ -127,9 +127,8 @@
     on_core: usize,
     at_call: usize,
     calls_out: usize,
-    /// When calls that were given up have left the dependency; mean of calls in its hands.
+    /// When calls that were given up have left the dependency.
     lingering: Vec<f64>,
-    calls_mean: f64,
     memory_kb: f64,
     remembered: BTreeSet<(u64, u32)>,
     /// Advances by the core time that each run on a core gets.
@@ -354,18 +353,13 @@
         if wake == Wake::Periodic {
             self.out.words.wakes.push((PERIOD_MS, Wake::Periodic));
             self.hand.lingering.retain(|until| *until > now);
-            while self.hand.remembered.first().is_some_and(|(until, _)| *until <= bits(now)) {
-                self.hand.remembered.pop_first();
-            }
+            self.hand.remembered.retain(|(until, _)| *until > bits(now));
             self.stop_spent();
-            let awake = gauges.wanting_core.map(|wanting| wanting / self.hand.on_core.max(1) as f64);
-            if self.hand.on_core > 0 {
-                self.awake += SMOOTH * (awake.unwrap_or(1.0).min(1.0) - self.awake);
+            if let (Some(wanting), runs @ 1..) = (gauges.wanting_core, self.hand.on_core) {
+                self.awake += SMOOTH * ((wanting / runs as f64).min(1.0) - self.awake);
             }
             self.unread_ms *= UNREAD_FADES;
-            let contract_ms = self.offerings.iter().map(|o| o.terms.contract_ms).fold(f64::MAX, f64::min);
-            let read_in_time = (1.0 - self.unread_ms / (UNREAD_CLOSES * contract_ms)).max(0.0);
-            self.ease += SMOOTH * (self.part_let_in() * read_in_time - self.ease);
+            self.ease += SMOOTH * (self.part_let_in() * self.read_in_time() - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
         } else if now + 0.01 >= self.woken_for {
@@ -520,9 +514,6 @@
         if passed > 0.0 {
             self.hand.core_clock +=
                 passed * (self.facts.cores / (self.hand.on_core.max(1) as f64)).min(self.awake);
-            let in_hand = (self.hand.calls_out + self.hand.lingering.len()) as f64;
-            let weight = (passed / self.facts.call_span_ms.max(1.0)).min(1.0);
-            self.hand.calls_mean += (in_hand - self.hand.calls_mean) * weight;
         }
         while let Some(&(_, id)) = self.hand.due.first().filter(|(time, _)| *time <= bits(now)) {
             self.hand.due.pop_first();
@@ -577,10 +568,7 @@
     /// storms, callers restarting); harms where a caller's first waits vary by themselves.
     fn waited_before(&mut self, caller: u32, offering: usize, patience: f64) -> f64 {
         let limit = self.offerings[offering].terms.hard_limit_ms;
-        if self.usual_waits.len() > CALLERS_KNOWN {
-            self.usual_waits.clear();
-        }
-        let usual = self.usual_waits.entry((caller, offering)).or_insert((patience, 0));
+        let usual = self.usual_waits.entry((caller % CALLERS_KNOWN, offering)).or_insert((patience, 0));
         let same = (patience - usual.0).abs() < SAME_WAIT_MS;
         usual.1 = if same { (usual.1 + 1).min(USUAL_VOTES) } else { usual.1 - 1 };
         if usual.1 < 0 {
@@ -592,6 +580,12 @@
         (limit - patience).max(0.0)
     }
 
+    /// How far arrivals are read in time: from 1 at once down to 0.
+    fn read_in_time(&self) -> f64 {
+        let contract_ms = self.offerings.iter().map(|o| o.terms.contract_ms).fold(f64::MAX, f64::min);
+        (1.0 - self.unread_ms / (UNREAD_CLOSES * contract_ms)).max(0.0)
+    }
+
     fn state(&self, id: u32) -> Option<State> {
         self.hand.invocations.get(&id).map(|i| i.state)
     }
@@ -662,9 +656,7 @@
     fn place_calls(&mut self) {
         loop {
             let in_hand = (self.hand.calls_out + self.hand.lingering.len()) as f64;
-            let share = self.facts.call_share.unwrap_or(f64::MAX);
-            let spent = share < 1.0 && self.hand.calls_mean > CALLS_OF_SHARE * share;
-            if in_hand + 1.0 > self.calls_most || spent || self.now < self.calls_after {
+            if in_hand + 1.0 > self.calls_most || self.now < self.calls_after {
                 return;
             }
             let Some(id) = self.first_of(State::AtCall) else { return };
@@ -677,11 +669,15 @@
     /// fail. Guards against a dependency that slows down, turns away or is gone: without the pause its instant
     /// refusals are repeated without end. Harms where calls differ much in length by themselves.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
-        let most = self.facts.call_share.map_or(f64::MAX, |share| (CALLS_OF_SHARE * share).max(1.0));
+        let share = self.facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
+        // A share under one call is kept by resting after each.
+        let paused = self.now < self.calls_after;
+        let rest_ms = took_ms * (1.0 / share - 1.0).max(0.0);
+        self.calls_after = self.calls_after.max(self.now + rest_ms);
         if end != CallEnd::Ok {
             self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(1.0);
-            if self.now >= self.calls_after {
-                self.calls_after = self.now + self.call_pause_ms;
+            if !paused {
+                self.calls_after = self.calls_after.max(self.now + self.call_pause_ms);
                 self.call_pause_ms = (2.0 * self.call_pause_ms).min(CALL_PAUSE_MOST_MS);
             }
             return;
@@ -691,7 +687,7 @@
         if took_ms > CALL_SLOW * self.call_quick_ms {
             self.calls_most = (self.calls_most * CALL_SHRINK_SLOW).max(1.0);
         } else {
-            self.calls_most = (self.calls_most + 1.0 / self.calls_most).min(most);
+            self.calls_most = (self.calls_most + 1.0 / self.calls_most).min(share.max(1.0));
         }
     }
 
@@ -703,9 +699,7 @@
             self.finish(id, Ending::Scrapped);
             return;
         }
-        if invocation.state == State::Running {
-            self.learn_end(id, RunEnd::Stopped);
-        }
+        self.learn_end(id, RunEnd::Stopped);
         self.dismiss(id, self.facts.cool_down_most_ms, self.leaving.is_some());
     }
 
@@ -762,7 +756,9 @@
                 let kept = |o: &Offering| self.kept_of(self.buckets + o.bucket, self.ease);
                 self.offerings.iter().filter(|o| kept(o) <= 0.0).map(|o| o.ranks_to).fold(0.0, f64::max)
             }
-            AdviceMeaning::OutstandingPerCaller => self.facts.cores * self.quotas().1 / self.facts.callers,
+            AdviceMeaning::OutstandingPerCaller => {
+                self.facts.cores * self.quotas().1 * self.read_in_time().max(SHARE_LEAST) / self.facts.callers
+            }
             AdviceMeaning::ShareOfUsual => self.share,
         };
         if (level - self.advised).abs() > 0.02 {
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -29,7 +29,6 @@
         run_factor: 8.0,
         entry_kb: 10.0,
         call_share: Some(3.0),
-        call_span_ms: 1000.0,
         call_linger_ms: 200.0,
         halting: Halting::Abort,
         advice: AdviceMeaning::LowestRank,
@@ -327,6 +326,30 @@
     assert!(matches!(last(&outcome), State::Calling { .. }));
 }
 
+#[test]
+fn a_share_under_one_call_is_kept_by_rests() {
+    let mut backend = started(StartFacts { call_share: Some(0.5), ..facts() });
+    backend.arrived(0.0, arrival(1, 1));
+    assert!(matches!(last(&backend.wants_call(0.0, 1)), State::Calling { .. }));
+    backend.call_ended(100.0, 1, CallEnd::Ok);
+    assert_eq!(last(&backend.wants_call(150.0, 1)), State::AtCall);
+    assert!(backend.woke(210.0, Wake::Periodic, Gauges::default()).changes.is_empty());
+    let outcome = backend.woke(230.0, Wake::Periodic, Gauges::default());
+    assert!(matches!(last(&outcome), State::Calling { .. }));
+}
+
+#[test]
+fn advice_closes_while_arrivals_lie_unread() {
+    let mut backend = started(StartFacts { advice: AdviceMeaning::OutstandingPerCaller, ..facts() });
+    backend.advise();
+    let before = backend.out.words.advice;
+    backend.unread_ms = 400.0;
+    backend.advise();
+    assert!(backend.out.words.advice < before);
+    backend.woke(10.0, Wake::Periodic, Gauges::default());
+    assert!(backend.ease < 1.0 && backend.unread_ms < 400.0);
+}
+
 #[test]
 fn a_call_that_may_be_left_out_is_skipped_when_it_fails() {
     let mut backend = running(1);
