--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,9 +33,9 @@
 /// Half-life of the tallies of ranks, tenants and outcomes.
 const TALLY_HALF_MS: f64 = 2000.0;
 const PERIOD_MS: f64 = 100.0;
-/// A run is not begun when this part of its foreseen time is more than what is left.
+/// A run is not begun when this part of its foreseen time is more than what is left; then one is sent on only
+/// when a server that needs this part of it would do.
 const FORESEEN_PART: f64 = 1.0;
-/// Another server may be so much quicker.
 const QUICKER_PART: f64 = 0.5;
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most.
 const SAME_WAIT_MS: f64 = 25.0;
@@ -51,10 +51,10 @@
 
 /// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
-/// A backend is sick when this share of its runs of late ended in error, or when so many runs are on it and
-/// none ended for so many times the span in which one was due.
+/// Callers are told to stay away when this share of runs of late ended in error, or when so many runs are on
+/// and none ended for so many times the span in which one was due.
 const FAILING_WEIGHT: f64 = 0.1;
-const FAILING_SHARE: f64 = 0.3;
+const FAILING_SHARE: f64 = 0.6;
 const SILENT_RUNS: usize = 4;
 const SILENT_TIMES: f64 = 10.0;
 const KNOWN_RUNS: f64 = 8.0;
@@ -401,9 +401,10 @@
         (self.facts.cores * room.min(AT_CALL_HARD)).max(1.0)
     }
 
-    /// The crowd in which a mean run still ends in good time, by what runs here have taken. Reading shares the
-    /// cores with runs: where arrivals lie unread, the crowd shrinks until reading keeps up. Guards against
-    /// retry storms, bursts and slow cores alike; harms where arrivals lie unread though the cores are free.
+    /// The crowd in which a mean run still ends in good time, by what runs here have taken. Reading shares
+    /// the cores with runs: where arrivals lie unread, the crowd shrinks until reading keeps up. Guards
+    /// against retry storms, bursts and slow cores alike; harms where arrivals lie unread though the cores
+    /// are free.
     fn paced_crowd(&self) -> Option<f64> {
         let known = || self.offerings.iter().filter(|o| o.runs >= 3.0);
         let weight: f64 = known().map(|o| o.tally).sum();
@@ -419,7 +420,7 @@
         let stepped = |soft: f64, hard: f64, load: f64| {
             ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
         };
-        if self.sick() {
+        if self.silent() {
             return if self.hand.on_core == 0 { 1.0 } else { 0.0 };
         }
         let (soft, hard) = self.quotas();
@@ -456,8 +457,6 @@
         self.memory_share() + more / self.facts.memory_kb <= MEMORY_RUN
     }
 
-    // ---- time and work ------------------------------------------------------------------------------
-
     /// What a run begun now would take, by what runs of its kind have taken here and by the present crowd.
     fn foreseen_ms(&self, offering: usize, hint: Option<f64>) -> f64 {
         let row = &self.offerings[offering];
@@ -490,16 +489,16 @@
         }
     }
 
-    /// Judged by symptoms: runs that end in errors, or many runs of which none ends though several were due.
-    /// Guards against servers that fail fast, hang or stall, whatever the cause; then one run at a time probes,
-    /// callers are told to stay away and health is answered so. Harms where many costly runs come together.
-    fn sick(&self) -> bool {
+    /// Many runs are on of which none ends though several were due. Guards against cores that hang, stall or
+    /// pause, whatever the cause; then one run at a time probes. Harms where many costly runs come together.
+    /// One that fails fast goes on, as errors open callers' own breakers and dismissals would not.
+    fn silent(&self) -> bool {
         let sum = |of: fn(&Offering) -> f64| self.offerings.iter().map(of).sum::<f64>();
         let runs = sum(|o| o.runs);
         let mean_ms = sum(|o| o.core_ms) / runs.max(1.0) / self.awake.max(0.2);
         let every_ms = mean_ms / (self.hand.on_core as f64).min(self.facts.cores).max(1.0);
-        let silent = self.hand.on_core >= SILENT_RUNS && self.now - self.last_end > SILENT_TIMES * every_ms;
-        self.failing > FAILING_SHARE || (silent && runs >= KNOWN_RUNS)
+        let silent_ms = self.now - self.last_end;
+        self.hand.on_core >= SILENT_RUNS && runs >= KNOWN_RUNS && silent_ms > SILENT_TIMES * every_ms
     }
 
     /// With nothing of its kind running, one that seems too late is tried: what was foreseen may be outdated.
@@ -562,10 +561,10 @@
         gives_up - self.now
     }
 
-    /// Further tries are not always marked, but a caller's wait gives many away: first tries of one caller come
-    /// with one usual wait, and a try that waits for another span is bounded by what is left of the client's
-    /// hard limit, which tells its age. Guards against work for clients whose contract time is over (retry
-    /// storms, callers restarting); harms where a caller's first waits vary by themselves.
+    /// Further tries are not always marked, but a caller's wait gives many away: first tries of one caller
+    /// come with one usual wait, and a try that waits for another span is bounded by what is left of the
+    /// client's hard limit, which tells its age. Guards against work for clients whose contract time is over
+    /// (retry storms, callers restarting); harms where a caller's first waits vary by themselves.
     fn waited_before(&mut self, caller: u32, offering: usize, patience: f64) -> f64 {
         let limit = self.offerings[offering].terms.hard_limit_ms;
         let usual = self.usual_waits.entry((caller % CALLERS_KNOWN, offering)).or_insert((patience, 0));
@@ -613,8 +612,7 @@
     /// A ticketed invocation is remembered through its window before anything of it runs; so is a read whose
     /// answer may serve others.
     fn remember(&mut self, id: u32, arrival: &Arrival) {
-        let rerunnable = self.row(id).terms.repeats == Repeats::Rerunnable;
-        let read = rerunnable && arrival.key != 0 && !arrival.writes;
+        let read = self.row(id).terms.repeats == Repeats::Rerunnable && arrival.key != 0 && !arrival.writes;
         let shares = read && self.facts.share_answers_ms > 0.0;
         let span = if self.remembers(id) {
             self.row(id).terms.ticket_window_ms
@@ -665,9 +663,9 @@
         }
     }
 
-    /// Keeps calls in hand near what lies below takes without crowding, by how long they take and whether they
-    /// fail. Guards against a dependency that slows down, turns away or is gone: without the pause its instant
-    /// refusals are repeated without end. Harms where calls differ much in length by themselves.
+    /// Keeps calls in hand near what lies below takes without crowding, by how long they take and whether
+    /// they fail. Guards against a dependency that slows down, turns away or is gone: without the pause its
+    /// instant refusals are repeated without end. Harms where calls differ much in length by themselves.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
         let share = self.facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
         // A share under one call is kept by resting after each.
@@ -734,20 +732,17 @@
         }
     }
 
-    // ---- what callers are told ----------------------------------------------------------------------
-
     fn advise(&mut self) {
-        let gone = self.leaving.is_some() || self.sick();
+        let gone = self.leaving.is_some() || self.silent() || self.failing > FAILING_SHARE;
         if gone != self.away_told {
             self.away_told = gone;
             self.out.words.fit = Some(!gone);
-            let cause = if self.leaving.is_some() { "leaving" } else { "sick: runs fail or do not end" };
-            self.out.words.notes.push(if gone { cause } else { "well again" }.to_string());
+            let why = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
+            self.out.words.notes.push(if gone { format!("stay away: {why}") } else { "well again".into() });
         }
         let cut = 1.0 - self.ease;
-        let easy = cut <= 1.0 / f64::from(STEPS);
-        let share = if easy { self.share + SHARE_UP } else { self.share * (1.0 - SHARE_DOWN * cut) };
-        self.share = share.clamp(SHARE_LEAST, 1.0);
+        let step = if cut * f64::from(STEPS) <= 1.0 { SHARE_UP } else { -SHARE_DOWN * cut * self.share };
+        self.share = (self.share + step).clamp(SHARE_LEAST, 1.0);
         let level = match self.facts.advice {
             AdviceMeaning::Nothing => return,
             AdviceMeaning::LowestRank if gone => 1.0,
