--- a/crates/plovershelf-wirehost/src/host/tests.rs
+++ b/crates/plovershelf-wirehost/src/host/tests.rs
@@ -1,9 +1,11 @@
 use super::*;
 use crate::frame::read_batch;
 
-const SETTINGS: &str = r#"{"classes": [{"aim_ms": 1000.0, "deadline_ms": 3000.0, "effect": "repeatable",
-    "gain": 1.0}], "family_info": {"cores": 2, "memory_kb": 10000.0, "run_factor": 8.0, "signal": "silent", "halt": "abort",
-    "meters": ["cpu_busy", "runnable"]}, "rules": {"tip_multiple": 8.0}, "unheard_of": [1, {"x": null}]}"#;
+const SETTINGS: &str = r#"{
+    "classes": [{"aim_ms": 1000.0, "deadline_ms": 3000.0, "effect": "repeatable", "gain": 1.0}],
+    "family_info": {"cores": 2, "memory_kb": 10000.0, "run_factor": 8.0, "signal": "silent",
+        "halt": "abort", "meters": ["cpu_busy", "runnable"]},
+    "rules": {"tip_multiple": 8.0}, "unheard_of": [1, {"x": null}]}"#;
 
 fn row(code: u16, instance: u32) -> Vec<u8> {
     let mut row = vec![0; 64];
