Advise a rank inside the bucket that is being cut

The advised rank stayed 0 until a whole bucket was cut, so nobody held low ranks back. It now reaches into the bucket by 1.5 times its part cut.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,6 +76,8 @@
 const SHARE_DOWN: f64 = 0.1;
 const SHARE_UP: f64 = 0.01;
 const SHARE_LEAST: f64 = 0.1;
+/// How far the advised rank reaches into a bucket, for the part cut of it: not all callers heed.
+const ADVICE_PART: f64 = 1.5;
 
 struct Pcg(u64);
 
@@ -93,7 +95,8 @@
     terms: OfferingTerms,
     /// Its bucket of ranks: offerings of equal revenue share one, the lowest revenue comes first.
     bucket: usize,
-    /// Where the ranks of its bucket end.
+    /// Where the ranks of its bucket begin and end.
+    ranks_from: f64,
     ranks_to: f64,
     /// Decaying sums over ended runs: their number, core time, hinted work.
     runs: f64,
@@ -187,6 +190,7 @@
         let offerings = facts.offerings.iter().map(|o| Offering {
             terms: o.clone(),
             bucket: values.iter().position(|v| *v == o.revenue).unwrap_or(0),
+            ranks_from: facts.offerings.iter().filter(|p| p.revenue < o.revenue).count() as f64 / all,
             ranks_to: facts.offerings.iter().filter(|p| p.revenue <= o.revenue).count() as f64 / all,
             runs: 0.0,
             core_ms: 0.0,
@@ -272,9 +276,7 @@
                 return self.result();
             }
         }
-        if let Some(admitted) = self.tenants.get_mut(arrival.tenant) {
-            *admitted += 1.0;
-        }
+        self.tenants.get_mut(arrival.tenant).into_iter().for_each(|admitted| *admitted += 1.0);
         self.remember(id, &arrival);
         self.run_held();
         self.result()
@@ -748,8 +750,10 @@
             AdviceMeaning::LowestRank if gone => 1.0,
             _ if gone => 0.0,
             AdviceMeaning::LowestRank => {
-                let kept = |o: &Offering| self.kept_of(self.buckets + o.bucket, self.ease);
-                self.offerings.iter().filter(|o| kept(o) <= 0.0).map(|o| o.ranks_to).fold(0.0, f64::max)
+                let cut = |o: &Offering| 1.0 - self.kept_of(self.buckets + o.bucket, self.ease);
+                let into = |o: &Offering| (ADVICE_PART * cut(o)).min(1.0) * (o.ranks_to - o.ranks_from);
+                let cut_rows = self.offerings.iter().filter(|o| cut(o) > 0.0);
+                cut_rows.map(|o| o.ranks_from + into(o)).fold(0.0, f64::max)
             }
             AdviceMeaning::OutstandingPerCaller => {
                 self.facts.cores * self.quotas().1 * self.read_in_time().max(SHARE_LEAST) / self.facts.callers
