--- a/src/logic.rs
+++ b/src/logic.rs
@@ -482,7 +482,7 @@
         let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
         let failed = f64::from(u8::from(end == RunEnd::Error));
         self.failing += FAILING_WEIGHT * (failed - self.failing);
-        self.last_end = self.now;
+        self.last_end = if end == RunEnd::Stopped { self.last_end } else { self.now };
         let row = &mut self.offerings[invocation.offering];
         if end != RunEnd::Error {
             row.runs = row.runs * RUNS_KEPT + 1.0;
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -373,6 +373,7 @@
     backend.offerings[1].core_ms = 10.0 * 50.0;
     backend.now = 50.0;
     assert!(!backend.silent());
+    backend.learn_end(1005, RunEnd::Stopped);
     let outcome = backend.woke(400.0, Wake::Periodic, Gauges::default());
     assert_eq!((outcome.words.fit, outcome.words.advice), (Some(false), Some(1.0)));
     assert!(dismissed(&backend.arrived(401.0, arrival(1, 1))));
