--- a/src/logic.rs
+++ b/src/logic.rs
@@ -499,7 +499,8 @@
         let runs = sum(|o| o.runs);
         let mean_ms = sum(|o| o.core_ms) / runs.max(1.0) / self.awake.max(0.2);
         let every_ms = mean_ms / (self.hand.on_core as f64).min(self.facts.cores).max(1.0);
-        let silent_ms = self.now - self.last_end;
+        let storm = self.unread_ms >= STORM_UNREAD_MS;
+        let silent_ms = if storm { 0.0 } else { self.now - self.last_end };
         self.hand.on_core >= SILENT_RUNS && runs >= KNOWN_RUNS && silent_ms > SILENT_TIMES * every_ms
     }
 
