--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -112,7 +112,6 @@
         gives_up_at: optional(event.f64(24)),
         work_hint_ms: (options & 1 != 0 && hint > 0.0).then_some(hint),
         footprint_kb: event.f32(40),
-        rank: event.f32(44),
         marked_repeat: options & 2 != 0,
         writes: options & 4 != 0,
         unread_ms: event.f64(51),
@@ -128,7 +127,6 @@
         match name.as_str() {
             "cpu_busy" => read.cores_busy = value,
             "runnable" => read.wanting_core = value,
-            "sockets" => read.connections = value,
             _ => {}
         }
     }
@@ -146,9 +144,6 @@
     if let Some(fit) = words.fit {
         reply.push(Action::new(265, instance).put(6, [u8::from(fit), 1]));
     }
-    if let Some(idle) = words.idle_ms {
-        reply.push(Action::new(267, instance).put(6, idle.to_le_bytes()));
-    }
     for (wait, wake) in words.wakes {
         let token = if wake == Wake::Periodic { PERIODIC } else { DUE };
         reply.push(Action::new(268, instance).put(6, wait.to_le_bytes()).put(14, token.to_le_bytes()));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -87,7 +87,6 @@
     pub gives_up_at: Option<f64>,
     pub work_hint_ms: Option<f64>,
     pub footprint_kb: f64,
-    pub rank: f64,
     pub marked_repeat: bool,
     pub writes: bool,
     pub unread_ms: f64,
@@ -118,7 +117,6 @@
 pub struct Gauges {
     pub cores_busy: Option<f64>,
     pub wanting_core: Option<f64>,
-    pub connections: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -177,7 +175,6 @@
 pub struct OwnWords {
     pub advice: Option<f64>,
     pub fit: Option<bool>,
-    pub idle_ms: Option<f64>,
     pub wakes: Vec<(f64, Wake)>,
     pub notes: Vec<String>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -492,15 +492,14 @@
     }
 
     /// Many runs are on of which none ends though several were due. Guards against cores that hang, stall or
-    /// pause, whatever the cause; then one run at a time probes. Harms where many costly runs come together.
+    /// pause while reading goes on; then one run at a time probes. Harms where many costly runs meet.
     /// One that fails fast goes on, as errors open callers' own breakers and dismissals would not.
     fn silent(&self) -> bool {
         let sum = |of: fn(&Offering) -> f64| self.offerings.iter().map(of).sum::<f64>();
         let runs = sum(|o| o.runs);
         let mean_ms = sum(|o| o.core_ms) / runs.max(1.0) / self.awake.max(0.2);
         let every_ms = mean_ms / (self.hand.on_core as f64).min(self.facts.cores).max(1.0);
-        let storm = self.unread_ms >= STORM_UNREAD_MS;
-        let silent_ms = if storm { 0.0 } else { self.now - self.last_end };
+        let silent_ms = if self.unread_ms < STORM_UNREAD_MS { self.now - self.last_end } else { 0.0 };
         self.hand.on_core >= SILENT_RUNS && runs >= KNOWN_RUNS && silent_ms > SILENT_TIMES * every_ms
     }
 
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -59,7 +59,6 @@
         gives_up_at: Some(3000.0),
         work_hint_ms: None,
         footprint_kb: 10.0,
-        rank: 0.0,
         marked_repeat: false,
         writes: false,
         unread_ms: 0.0,
@@ -377,6 +376,10 @@
     let outcome = backend.woke(400.0, Wake::Periodic, Gauges::default());
     assert_eq!((outcome.words.fit, outcome.words.advice), (Some(false), Some(1.0)));
     assert!(dismissed(&backend.arrived(401.0, arrival(1, 1))));
+    backend.unread_ms = 150.0;
+    assert!(!backend.silent());
+    backend.unread_ms = 0.0;
+    assert!(backend.silent());
     backend.run_ended(402.0, 1000, RunEnd::Ok);
     assert!(!backend.silent());
 }
