The module decides whether work can be stopped; the survivable crowd is computed in one place

The adapter used to drop stops where nothing can be halted, so it held a decision and the told way of halting went unread in the module, which asked for such stops again each period. A small test holds it.

--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -2,9 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use plovershelf::interface::{
-    Arrival, CallEnd, Change, Ending, Gauges, Halting, Outcome, RunEnd, State, Wake,
-};
+use plovershelf::interface::{Arrival, CallEnd, Change, Ending, Gauges, Outcome, RunEnd, State, Wake};
 use plovershelf::logic::Backend;
 
 use crate::facts;
@@ -13,7 +11,6 @@
 struct Hosted {
     backend: Backend,
     meters: Vec<String>,
-    halting: Halting,
     offerings: usize,
 }
 
@@ -44,11 +41,10 @@
         if code == 262 {
             let start = facts::read(event.text(14)?, event.u64(6))
                 .map_err(|e| format!("record {place}, instance {instance}: {e}"))?;
-            let halting = start.facts.halting;
             let offerings = start.facts.offerings.len();
             let (backend, outcome) = Backend::start(now, start.facts);
-            self.hosted.insert(instance, Hosted { backend, meters: start.meters, halting, offerings });
-            encode(instance, halting, outcome, reply);
+            self.hosted.insert(instance, Hosted { backend, meters: start.meters, offerings });
+            encode(instance, outcome, reply);
             return Ok(());
         }
         let hosted = self.hosted.get_mut(&instance).ok_or_else(|| {
@@ -95,7 +91,7 @@
             }
             _ => return Err(format!("record {place}: unknown event code {code}")),
         };
-        encode(instance, hosted.halting, outcome, reply);
+        encode(instance, outcome, reply);
         Ok(())
     }
 }
@@ -133,9 +129,9 @@
     read
 }
 
-fn encode(instance: u32, halting: Halting, outcome: Outcome, reply: &mut Reply) {
+fn encode(instance: u32, outcome: Outcome, reply: &mut Reply) {
     for change in outcome.changes {
-        encode_change(instance, halting, change, reply);
+        encode_change(instance, change, reply);
     }
     let words = outcome.words;
     if let Some(level) = words.advice {
@@ -153,7 +149,7 @@
     }
 }
 
-fn encode_change(instance: u32, halting: Halting, change: Change, reply: &mut Reply) {
+fn encode_change(instance: u32, change: Change, reply: &mut Reply) {
     let on = |code: u16| Action::new(code, instance).put(6, change.id.to_le_bytes());
     if let Some(ttl) = change.remember_ms {
         reply.push(on(262).put(10, ttl.to_le_bytes()));
@@ -167,7 +163,7 @@
             if !matches!(from, Some(State::Spent { .. })) {
                 encode_ending(&on, ending, reply);
             }
-            if stop && halting != Halting::Never {
+            if stop {
                 reply.push(on(259));
             }
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -388,18 +388,20 @@
         facts.cold_speed + (1.0 - facts.cold_speed) * step.min(1.0)
     }
 
+    fn survivable(&self) -> f64 {
+        1.0 + (self.facts.tip_multiple - 1.0) * self.warmth()
+    }
+
     /// The soft and the hard quota, in runs a core; the hard one's ceiling rises from cold to warm.
     fn quotas(&self) -> (f64, f64) {
-        let survivable = 1.0 + (self.facts.tip_multiple - 1.0) * self.warmth();
         let wanted = self.paced_crowd().unwrap_or(HARD_FIRST * self.warmth());
-        let hard = wanted.min(HARD_OF_SURVIVABLE * survivable).max(1.0 + 1.0 / self.facts.cores);
+        let hard = wanted.min(HARD_OF_SURVIVABLE * self.survivable()).max(1.0 + 1.0 / self.facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
     }
 
     /// All that stands at calls may come back to the cores at once, beside as many runs as the quota lets in.
     fn at_call_most(&self) -> f64 {
-        let survivable = 1.0 + (self.facts.tip_multiple - 1.0) * self.warmth();
-        let room = CALLERS_BACK * survivable - self.quotas().1;
+        let room = CALLERS_BACK * self.survivable() - self.quotas().1;
         (self.facts.cores * room.min(AT_CALL_HARD)).max(1.0)
     }
 
@@ -480,8 +482,7 @@
         }
         let core_ms = invocation.core_ms + self.hand.core_clock - invocation.core_clock;
         let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
-        let failed = f64::from(u8::from(end == RunEnd::Error));
-        self.failing += FAILING_WEIGHT * (failed - self.failing);
+        self.failing += FAILING_WEIGHT * (f64::from(u8::from(end == RunEnd::Error)) - self.failing);
         self.last_end = if end == RunEnd::Stopped { self.last_end } else { self.now };
         let row = &mut self.offerings[invocation.offering];
         if end != RunEnd::Error {
@@ -512,10 +513,8 @@
     fn pass_to(&mut self, now: f64) {
         let passed = (now - self.now).max(0.0);
         self.now = now;
-        if passed > 0.0 {
-            self.hand.core_clock +=
-                passed * (self.facts.cores / (self.hand.on_core.max(1) as f64)).min(self.awake);
-        }
+        let each = self.facts.cores / self.hand.on_core.max(1) as f64;
+        self.hand.core_clock += passed * each.min(self.awake);
         while let Some(&(_, id)) = self.hand.due.first().filter(|(time, _)| *time <= bits(now)) {
             self.hand.due.pop_first();
             self.give_up(id);
@@ -720,10 +719,11 @@
     /// Gives the final answer; work of it that still runs is stopped where it may be.
     fn finish(&mut self, id: u32, ending: Ending) {
         let rerunnable = self.row(id).terms.repeats == Repeats::Rerunnable;
+        let stops = rerunnable && self.facts.halting != Halting::Never;
         match self.hand.invocations[&id].state {
             State::Spent { .. } | State::Ended(_) => {}
             State::Held | State::Joined => self.change(id, State::Ended(ending)),
-            from => self.change(id, State::Spent { ending, stop: rerunnable && from == State::Running }),
+            from => self.change(id, State::Spent { ending, stop: stops && from == State::Running }),
         }
     }
 
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -226,6 +226,14 @@
     }
 }
 
+#[test]
+fn where_nothing_can_be_stopped_no_stop_is_asked_for() {
+    let mut backend = running(1);
+    backend.facts.halting = Halting::Never;
+    let outcome = backend.woke(1000.0, Wake::Due, Gauges::default());
+    assert!(matches!(last(&outcome), State::Spent { stop: false, .. }));
+}
+
 #[test]
 fn work_that_did_not_stop_is_told_again() {
     let mut backend = running(1);
