--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -140,6 +140,9 @@
     if let Some(fit) = words.fit {
         reply.push(Action::new(265, instance).put(6, [u8::from(fit), 1]));
     }
+    if let Some(idle_ms) = words.idle_ms {
+        reply.push(Action::new(267, instance).put(6, idle_ms.to_le_bytes()));
+    }
     for (wait, wake) in words.wakes {
         let token = if wake == Wake::Periodic { PERIODIC } else { DUE };
         reply.push(Action::new(268, instance).put(6, wait.to_le_bytes()).put(14, token.to_le_bytes()));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,8 @@
 pub struct OwnWords {
     pub advice: Option<f64>,
     pub fit: Option<bool>,
+    /// How long a connection that is not used may stay.
+    pub idle_ms: Option<f64>,
     pub wakes: Vec<(f64, Wake)>,
     pub notes: Vec<String>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,7 @@
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
 const COOL_MS: f64 = 300.0;
+const IDLE_MS: f64 = 12000.0;
 
 /// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
@@ -228,6 +229,7 @@
             facts,
         };
         backend.out.words.fit = Some(true);
+        backend.out.words.idle_ms = Some(IDLE_MS);
         let spread = backend.chance.next();
         backend.out.words.wakes.push((PERIOD_MS * (0.5 + spread), Wake::Periodic));
         let outcome = backend.result();
