--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -103,7 +103,6 @@
         id: event.u32(6),
         offering: usize::from(event.u16(10)),
         tenant: event.u32(12) as usize,
-        caller: u32::from(event.u16(49)),
         key: event.u64(16),
         gives_up_at: optional(event.f64(24)),
         work_hint_ms: (options & 1 != 0 && hint > 0.0).then_some(hint),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -71,6 +71,8 @@
     pub warm_within_ms: f64,
     pub tip_multiple: f64,
     pub grace_ms: f64,
+    /// Callers close connections that sit idle for this long.
+    pub idle_most_ms: f64,
     pub cool_down_most_ms: f64,
     /// How long the answer to a read may serve others; 0 for never.
     pub share_answers_ms: f64,
@@ -82,7 +84,6 @@
     pub id: u32,
     pub offering: usize,
     pub tenant: usize,
-    pub caller: u32,
     pub key: u64,
     pub gives_up_at: Option<f64>,
     pub work_hint_ms: Option<f64>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 const UNREAD_FADES: f64 = 0.97;
 /// At this part of the least contract time unread, callers are advised to send nothing.
 const UNREAD_CLOSES: f64 = 0.5;
-/// Where arrivals lie unread for longer, a dismissed one had better not try elsewhere at once.
+/// Where arrivals lie unread for longer, the cores are behind.
 const STORM_UNREAD_MS: f64 = 100.0;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
 /// How far between one a core and the hard quota the soft quota lies.
@@ -37,10 +37,10 @@
 /// when a server that needs this part of it would do.
 const FORESEEN_PART: f64 = 1.0;
 const QUICKER_PART: f64 = 0.5;
-/// Waits nearer than this are one and the same; votes that a usual wait collects at most.
+/// Waits nearer than this are one and the same; votes that a usual wait collects at most; how many are known.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
-const CALLERS_KNOWN: u32 = 2000;
+const USUAL_WAITS: usize = 4;
 /// Memory that runs, and that repeats which wait for another's answer may fill; the rest is for what is read.
 const MEMORY_RUN: f64 = 0.80;
 const MEMORY_HOLD: f64 = 0.85;
@@ -48,7 +48,9 @@
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
 const COOL_MS: f64 = 300.0;
-const IDLE_MS: f64 = 12000.0;
+/// An idle connection is worth its place when its caller comes back in about this time.
+const IDLE_EVEN_MS: f64 = 10000.0;
+const IDLE_LEAST_MS: f64 = 500.0;
 
 /// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
@@ -104,6 +106,8 @@
     core_ms: f64,
     hinted_ms: f64,
     tally: f64,
+    /// The waits that are usual with its tries, and the votes for each.
+    usual_waits: Vec<(f64, i32)>,
 }
 
 struct Invocation {
@@ -164,8 +168,6 @@
     away_told: bool,
     /// How long arrivals of late lay unread.
     unread_ms: f64,
-    /// The wait that is usual with a caller's tries of an offering, and the votes for it.
-    usual_waits: BTreeMap<(u32, usize), (f64, i32)>,
     /// The order of cuts: the buckets of tenants over quota, lowest first, then those of all others; for each
     /// place in it a decaying tally of arrivals and the cycling counter.
     buckets: usize,
@@ -174,6 +176,7 @@
     tenants: Vec<f64>,
     tally_time: f64,
     advised: f64,
+    idle_told: f64,
     chance: Pcg,
     out: Outcome,
 }
@@ -197,6 +200,7 @@
             core_ms: 0.0,
             hinted_ms: 0.0,
             tally: 0.0,
+            usual_waits: Vec::new(),
         });
         let mut backend = Backend {
             offerings: offerings.collect(),
@@ -217,19 +221,18 @@
             last_end: now,
             away_told: false,
             unread_ms: 0.0,
-            usual_waits: BTreeMap::new(),
             buckets: values.len(),
             tallies: vec![0.0; 2 * values.len()],
             counters: vec![0; 2 * values.len()],
             tenants: vec![0.0; facts.tenant_quotas.len()],
             tally_time: now,
             advised: -1.0,
+            idle_told: facts.idle_most_ms,
             chance: Pcg(facts.seed),
             out: Outcome::default(),
             facts,
         };
         backend.out.words.fit = Some(true);
-        backend.out.words.idle_ms = Some(IDLE_MS);
         let spread = backend.chance.next();
         backend.out.words.wakes.push((PERIOD_MS * (0.5 + spread), Wake::Periodic));
         let outcome = backend.result();
@@ -535,7 +538,7 @@
         let arrived = self.now - arrival.unread_ms;
         let answer_by = arrival.gives_up_at.unwrap_or((arrived + row.terms.hard_limit_ms).max(self.now));
         let patience = answer_by - arrived;
-        let mut waited = self.waited_before(arrival.caller, arrival.offering, patience);
+        let mut waited = self.waited_before(arrival.offering, patience);
         if arrival.gives_up_at.is_none() || (self.facts.repeats_marked && !arrival.marked_repeat) {
             waited = 0.0;
         }
@@ -564,22 +567,25 @@
         gives_up - self.now
     }
 
-    /// Further tries are not always marked, but a caller's wait gives many away: first tries of one caller
-    /// come with one usual wait, and a try that waits for another span is bounded by what is left of the
+    /// Further tries are not always marked, but their wait gives many away: first tries of an offering come
+    /// with one of a few usual waits, and a try that waits for another span is bounded by what is left of the
     /// client's hard limit, which tells its age. Guards against work for clients whose contract time is over
-    /// (retry storms, callers restarting); harms where a caller's first waits vary by themselves.
-    fn waited_before(&mut self, caller: u32, offering: usize, patience: f64) -> f64 {
-        let limit = self.offerings[offering].terms.hard_limit_ms;
-        let usual = self.usual_waits.entry((caller % CALLERS_KNOWN, offering)).or_insert((patience, 0));
-        let same = (patience - usual.0).abs() < SAME_WAIT_MS;
-        usual.1 = if same { (usual.1 + 1).min(USUAL_VOTES) } else { usual.1 - 1 };
-        if usual.1 < 0 {
-            *usual = (patience, 1);
-        }
-        if same || usual.1 < USUAL_VOTES / 4 {
-            return 0.0;
+    /// (retry storms, callers restarting); harms where callers' first waits vary by themselves.
+    fn waited_before(&mut self, offering: usize, patience: f64) -> f64 {
+        let Offering { terms, usual_waits, .. } = &mut self.offerings[offering];
+        let known = |(_, votes): &(f64, i32)| *votes >= USUAL_VOTES / 4;
+        if let Some(usual) = usual_waits.iter_mut().find(|(w, _)| (patience - w).abs() < SAME_WAIT_MS) {
+            usual.1 = (usual.1 + 1).min(USUAL_VOTES);
+            if known(usual) {
+                return 0.0;
+            }
+        } else if usual_waits.len() < USUAL_WAITS {
+            usual_waits.push((patience, 1));
+        } else if let Some(weakest) = usual_waits.iter_mut().min_by_key(|(_, votes)| *votes) {
+            weakest.1 -= 1;
+            *weakest = if weakest.1 < 1 { (patience, 1) } else { *weakest };
         }
-        (limit - patience).max(0.0)
+        if usual_waits.iter().any(known) { (terms.hard_limit_ms - patience).max(0.0) } else { 0.0 }
     }
 
     /// How far arrivals are read in time: from 1 at once down to 0.
@@ -705,12 +711,11 @@
     }
 
     /// Dismisses what the quotas leave out; the more is cut and the longer arrivals lie unread, the later it
-    /// should come back. Unread arrivals are the sign of a storm of tries, which going elsewhere feeds; harms
-    /// where this server alone is behind and others have room.
+    /// should come back. Trying elsewhere at once feeds storms: each try costs a reading and often a new
+    /// connection, and servers alike cut alike; harms where this server alone is short and others have room.
     fn turn_back(&mut self, id: u32, part: f64) {
-        let storm = self.unread_ms >= STORM_UNREAD_MS && !self.away_told;
         let cool_down = if self.away_told { f64::MAX } else { COOL_MS * (1.0 - part) + self.unread_ms };
-        self.dismiss(id, cool_down, !storm);
+        self.dismiss(id, cool_down, self.away_told);
     }
 
     fn dismiss(&mut self, id: u32, cool_down_ms: f64, elsewhere_helps: bool) {
@@ -744,6 +749,14 @@
             let why = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
             self.out.words.notes.push(if gone { format!("stay away: {why}") } else { "well again".into() });
         }
+        let arrivals: f64 = self.offerings.iter().map(|o| o.tally).sum();
+        let back_ms = self.facts.callers * TALLY_HALF_MS / std::f64::consts::LN_2 / arrivals.max(1.0);
+        let idle = (IDLE_EVEN_MS * IDLE_EVEN_MS / back_ms).clamp(IDLE_LEAST_MS, self.facts.idle_most_ms);
+        let idle = if self.unread_ms > STORM_UNREAD_MS { self.facts.idle_most_ms } else { idle };
+        if (idle / self.idle_told - 1.0).abs() > 0.2 {
+            self.idle_told = idle;
+            self.out.words.idle_ms = Some(idle);
+        }
         let cut = 1.0 - self.ease;
         let step = if cut * f64::from(STEPS) <= 1.0 { SHARE_UP } else { -SHARE_DOWN * cut * self.share };
         self.share = (self.share + step).clamp(SHARE_LEAST, 1.0);
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -40,6 +40,7 @@
         warm_within_ms: 8000.0,
         tip_multiple: 8.0,
         grace_ms: 500.0,
+        idle_most_ms: 30_000.0,
         cool_down_most_ms: 1000.0,
         share_answers_ms: 0.0,
     }
@@ -54,7 +55,6 @@
         id,
         offering,
         tenant: 0,
-        caller: 0,
         key: 0,
         gives_up_at: Some(3000.0),
         work_hint_ms: None,
