--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,10 +33,6 @@
 /// Half-life of the tallies of ranks, tenants and outcomes.
 const TALLY_HALF_MS: f64 = 2000.0;
 const PERIOD_MS: f64 = 100.0;
-/// A run is not begun when this part of its foreseen time is more than what is left; then one is sent on only
-/// when a server that needs this part of it would do.
-const FORESEEN_PART: f64 = 1.0;
-const QUICKER_PART: f64 = 0.5;
 /// Waits nearer than this are one and the same; votes that a usual wait collects at most; how many are known.
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
@@ -48,19 +44,17 @@
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
 const COOL_MS: f64 = 300.0;
+/// A dismissed one is sent on when the cut of late would keep more than this part of its like.
+const KEPT_ELSEWHERE: f64 = 0.8;
 /// An idle connection is worth its place when its caller comes back in about this time.
 const IDLE_EVEN_MS: f64 = 10000.0;
 const IDLE_LEAST_MS: f64 = 500.0;
 
 /// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
-/// Callers are told to stay away when this share of runs of late ended in error, or when so many runs are on
-/// and none ended for so many times the span in which one was due.
+/// Callers are told to stay away when this share of runs of late ended in error or in no good time.
 const FAILING_WEIGHT: f64 = 0.1;
 const FAILING_SHARE: f64 = 0.6;
-const SILENT_RUNS: usize = 4;
-const SILENT_TIMES: f64 = 10.0;
-const KNOWN_RUNS: f64 = 8.0;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
 /// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
@@ -161,9 +155,8 @@
     awake: f64,
     ease: f64,
     share: f64,
-    /// Smoothed share of runs that end in error; when a run last ended, or so many were not yet on.
+    /// Smoothed share of runs that end in error or are given up.
     failing: f64,
-    last_end: f64,
     /// Callers and checks have been told to stay away.
     away_told: bool,
     /// How long arrivals of late lay unread.
@@ -218,7 +211,6 @@
             ease: 1.0,
             share: 1.0,
             failing: 0.0,
-            last_end: now,
             away_told: false,
             unread_ms: 0.0,
             buckets: values.len(),
@@ -251,33 +243,34 @@
             return self.result();
         }
         // Expired work is shed before anything else: it can't be answered in its contract time.
-        let foreseen = FORESEEN_PART * self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
+        let foreseen = self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
         if left <= 0.0 || (left < foreseen && self.others_run(id)) {
-            let quicker_may = left > QUICKER_PART * foreseen && self.unread_ms < STORM_UNREAD_MS;
-            self.dismiss(id, self.unread_ms, quicker_may);
+            self.dismiss(id, self.unread_ms, false);
             return self.result();
         }
         // After the notice and its grace nothing is run.
         if self.leaving.is_some_and(|(grace_end, _)| now - arrival.unread_ms > grace_end) {
-            self.dismiss(id, self.facts.cool_down_most_ms, true);
+            self.dismiss(id, self.facts.cool_down_most_ms, false);
             return self.result();
         }
         // At the hard quota every arrival is refused.
+        let over_quota = self.tenant_over_quota(arrival.tenant);
+        let bucket = self.offerings[arrival.offering].bucket;
+        let place = if over_quota { bucket } else { self.buckets + bucket };
+        self.tallies[place] += 1.0;
         let part = self.part_let_in();
+        let cool_down_ms = COOL_MS * (1.0 - part) + self.unread_ms;
+        let kept_elsewhere = self.kept_of(place, self.ease) > KEPT_ELSEWHERE;
         if part <= 0.0 || !self.memory_allows(id) {
-            self.turn_back(id, 0.0);
+            self.dismiss(id, cool_down_ms, kept_elsewhere);
             return self.result();
         }
         // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
-        let over_quota = self.tenant_over_quota(arrival.tenant);
-        let bucket = self.offerings[arrival.offering].bucket;
-        let place = if over_quota { bucket } else { self.buckets + bucket };
-        self.tallies[place] += 1.0;
         if part < 1.0 {
             let kept = self.kept_of(place, part);
             self.counters[place] = (self.counters[place] + 1) % STEPS;
             if f64::from(self.counters[place]) >= kept * f64::from(STEPS) {
-                self.turn_back(id, part);
+                self.dismiss(id, cool_down_ms, kept_elsewhere);
                 return self.result();
             }
         }
@@ -429,9 +422,6 @@
         let stepped = |soft: f64, hard: f64, load: f64| {
             ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
         };
-        if self.silent() {
-            return if self.hand.on_core == 0 { 1.0 } else { 0.0 };
-        }
         let (soft, hard) = self.quotas();
         let mut part = stepped(soft, hard, self.load());
         part = if part > 0.0 && self.busy < GATE_BUSY { 1.0 } else { part };
@@ -487,8 +477,7 @@
         }
         let core_ms = invocation.core_ms + self.hand.core_clock - invocation.core_clock;
         let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
-        self.failing += FAILING_WEIGHT * (f64::from(u8::from(end == RunEnd::Error)) - self.failing);
-        self.last_end = if end == RunEnd::Stopped { self.last_end } else { self.now };
+        self.failing += FAILING_WEIGHT * (f64::from(u8::from(end != RunEnd::Ok)) - self.failing);
         let row = &mut self.offerings[invocation.offering];
         if end != RunEnd::Error {
             row.runs = row.runs * RUNS_KEPT + 1.0;
@@ -497,18 +486,6 @@
         }
     }
 
-    /// Many runs are on of which none ends though several were due. Guards against cores that hang, stall or
-    /// pause while reading goes on; then one run at a time probes. Harms where many costly runs meet.
-    /// One that fails fast goes on, as errors open callers' own breakers and dismissals would not.
-    fn silent(&self) -> bool {
-        let sum = |of: fn(&Offering) -> f64| self.offerings.iter().map(of).sum::<f64>();
-        let runs = sum(|o| o.runs);
-        let mean_ms = sum(|o| o.core_ms) / runs.max(1.0) / self.awake.max(0.2);
-        let every_ms = mean_ms / (self.hand.on_core as f64).min(self.facts.cores).max(1.0);
-        let silent_ms = if self.unread_ms < STORM_UNREAD_MS { self.now - self.last_end } else { 0.0 };
-        self.hand.on_core >= SILENT_RUNS && runs >= KNOWN_RUNS && silent_ms > SILENT_TIMES * every_ms
-    }
-
     /// With nothing of its kind running, one that seems too late is tried: what was foreseen may be outdated.
     fn others_run(&self, id: u32) -> bool {
         let offering = self.hand.invocations[&id].offering;
@@ -576,7 +553,7 @@
         let known = |(_, votes): &(f64, i32)| *votes >= USUAL_VOTES / 4;
         if let Some(usual) = usual_waits.iter_mut().find(|(w, _)| (patience - w).abs() < SAME_WAIT_MS) {
             usual.1 = (usual.1 + 1).min(USUAL_VOTES);
-            if known(usual) {
+            if usual.1 >= USUAL_VOTES / 10 {
                 return 0.0;
             }
         } else if usual_waits.len() < USUAL_WAITS {
@@ -585,7 +562,11 @@
             weakest.1 -= 1;
             *weakest = if weakest.1 < 1 { (patience, 1) } else { *weakest };
         }
-        if usual_waits.iter().any(known) { (terms.hard_limit_ms - patience).max(0.0) } else { 0.0 }
+        if usual_waits.iter().any(known) {
+            (terms.hard_limit_ms - patience).max(0.0)
+        } else {
+            0.0
+        }
     }
 
     /// How far arrivals are read in time: from 1 at once down to 0.
@@ -707,19 +688,16 @@
             return;
         }
         self.learn_end(id, RunEnd::Stopped);
-        self.dismiss(id, self.facts.cool_down_most_ms, self.leaving.is_some());
-    }
-
-    /// Dismisses what the quotas leave out; the more is cut and the longer arrivals lie unread, the later it
-    /// should come back. Trying elsewhere at once feeds storms: each try costs a reading and often a new
-    /// connection, and servers alike cut alike; harms where this server alone is short and others have room.
-    fn turn_back(&mut self, id: u32, part: f64) {
-        let cool_down = if self.away_told { f64::MAX } else { COOL_MS * (1.0 - part) + self.unread_ms };
-        self.dismiss(id, cool_down, self.away_told);
+        self.dismiss(id, self.facts.cool_down_most_ms, false);
     }
 
-    fn dismiss(&mut self, id: u32, cool_down_ms: f64, elsewhere_helps: bool) {
-        let cool_down_ms = cool_down_ms.min(self.facts.cool_down_most_ms);
+    /// Trying elsewhere at once feeds storms: each try costs a reading and often a new connection, and servers
+    /// alike cut alike. So only a server that leaves or is sick sends on all, others what their cut of late
+    /// would mostly keep; harms where this server alone is short and others have room.
+    fn dismiss(&mut self, id: u32, cool_down_ms: f64, kept_elsewhere: bool) {
+        let most = self.facts.cool_down_most_ms;
+        let cool_down_ms = if self.away_told { most } else { cool_down_ms.min(most) };
+        let elsewhere_helps = kept_elsewhere || self.away_told;
         self.finish(id, Ending::Dismissed { cool_down_ms, elsewhere_helps });
     }
 
@@ -742,7 +720,7 @@
     }
 
     fn advise(&mut self) {
-        let gone = self.leaving.is_some() || self.silent() || self.failing > FAILING_SHARE;
+        let gone = self.leaving.is_some() || self.failing > FAILING_SHARE;
         if gone != self.away_told {
             self.away_told = gone;
             self.out.words.fit = Some(!gone);
@@ -792,9 +770,6 @@
             invocation.core_ms += self.hand.core_clock - invocation.core_clock;
         }
         invocation.core_clock = self.hand.core_clock;
-        if self.hand.on_core < SILENT_RUNS {
-            self.last_end = self.now;
-        }
         self.hand.on_core = self.hand.on_core + usize::from(runs(to)) - usize::from(runs(from));
         self.hand.at_call = self.hand.at_call + usize::from(calls(to)) - usize::from(calls(from));
         let out = |s: State| usize::from(matches!(s, State::Calling { .. }));
