--- a/src/logic.rs
+++ b/src/logic.rs
@@ -477,7 +477,8 @@
         }
         let core_ms = invocation.core_ms + self.hand.core_clock - invocation.core_clock;
         let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
-        self.failing += FAILING_WEIGHT * (f64::from(u8::from(end != RunEnd::Ok)) - self.failing);
+        let ill = end == RunEnd::Error || (end == RunEnd::Stopped && self.unread_ms < STORM_UNREAD_MS);
+        self.failing += FAILING_WEIGHT * (f64::from(u8::from(ill)) - self.failing);
         let row = &mut self.offerings[invocation.offering];
         if end != RunEnd::Error {
             row.runs = row.runs * RUNS_KEPT + 1.0;
