--- a/src/logic.rs
+++ b/src/logic.rs
@@ -254,7 +254,7 @@
             return self.result();
         }
         // At the hard quota every arrival is refused.
-        let over_quota = self.tenant_over_quota(arrival.tenant);
+        let over_quota = self.tenant_over_quota(arrival.tenant) || arrival.marked_repeat;
         let bucket = self.offerings[arrival.offering].bucket;
         let place = if over_quota { bucket } else { self.buckets + bucket };
         self.tallies[place] += 1.0;
