--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,10 @@
 /// An idle connection is worth its place when its caller comes back in about this time.
 const IDLE_EVEN_MS: f64 = 10000.0;
 const IDLE_LEAST_MS: f64 = 500.0;
+/// Steps of the idle span a period, up where more than so many tasks a core want one beside the runs.
+const IDLE_UP: f64 = 1.4;
+const IDLE_DOWN: f64 = 0.8;
+const BESIDE_MOST: f64 = 2.0;
 
 /// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
@@ -153,6 +157,7 @@
     busy: f64,
     /// Smoothed: part of the runs that want a core, and part of arrivals let in.
     awake: f64,
+    beside: f64,
     ease: f64,
     share: f64,
     /// Smoothed share of runs that end in error or are given up.
@@ -169,6 +174,7 @@
     tenants: Vec<f64>,
     tally_time: f64,
     advised: f64,
+    idle_ms: f64,
     idle_told: f64,
     chance: Pcg,
     out: Outcome,
@@ -208,6 +214,7 @@
             calls_after: now,
             busy: 1.0,
             awake: 1.0,
+            beside: 0.0,
             ease: 1.0,
             share: 1.0,
             failing: 0.0,
@@ -219,6 +226,7 @@
             tenants: vec![0.0; facts.tenant_quotas.len()],
             tally_time: now,
             advised: -1.0,
+            idle_ms: facts.idle_most_ms,
             idle_told: facts.idle_most_ms,
             chance: Pcg(facts.seed),
             out: Outcome::default(),
@@ -355,8 +363,10 @@
             self.hand.lingering.retain(|until| *until > now);
             self.hand.remembered.retain(|(until, _)| *until > bits(now));
             self.stop_spent();
-            if let (Some(wanting), runs @ 1..) = (gauges.wanting_core, self.hand.on_core) {
-                self.awake += SMOOTH * ((wanting / runs as f64).min(1.0) - self.awake);
+            if let (Some(wanting), runs) = (gauges.wanting_core, self.hand.on_core as f64) {
+                let awake = if runs > 0.0 { (wanting / runs).min(1.0) } else { self.awake };
+                self.awake += SMOOTH * (awake - self.awake);
+                self.beside += SMOOTH * ((wanting - runs).max(0.0) - self.beside);
             }
             self.unread_ms *= UNREAD_FADES;
             self.ease += SMOOTH * (self.part_let_in() * self.read_in_time() - self.ease);
@@ -730,11 +740,13 @@
         }
         let arrivals: f64 = self.offerings.iter().map(|o| o.tally).sum();
         let back_ms = self.facts.callers * TALLY_HALF_MS / std::f64::consts::LN_2 / arrivals.max(1.0);
-        let idle = (IDLE_EVEN_MS * IDLE_EVEN_MS / back_ms).clamp(IDLE_LEAST_MS, self.facts.idle_most_ms);
-        let idle = if self.unread_ms > STORM_UNREAD_MS { self.facts.idle_most_ms } else { idle };
-        if (idle / self.idle_told - 1.0).abs() > 0.2 {
-            self.idle_told = idle;
-            self.out.words.idle_ms = Some(idle);
+        let least = (IDLE_EVEN_MS * IDLE_EVEN_MS / back_ms).clamp(IDLE_LEAST_MS, self.facts.idle_most_ms);
+        let crowded = self.beside > BESIDE_MOST * self.facts.cores;
+        self.idle_ms *= if crowded { IDLE_UP } else { IDLE_DOWN };
+        self.idle_ms = self.idle_ms.clamp(least, self.facts.idle_most_ms);
+        if (self.idle_ms / self.idle_told - 1.0).abs() > 0.2 {
+            self.idle_told = self.idle_ms;
+            self.out.words.idle_ms = Some(self.idle_ms);
         }
         let cut = 1.0 - self.ease;
         let step = if cut * f64::from(STEPS) <= 1.0 { SHARE_UP } else { -SHARE_DOWN * cut * self.share };
