--- a/crates/plovershelf-wirehost/src/facts.rs
+++ b/crates/plovershelf-wirehost/src/facts.rs
@@ -85,7 +85,7 @@
         warm_within_ms: number(rules, "warm_within_ms", 0.0),
         tip_multiple: number(rules, "tip_multiple", 1.0),
         grace_ms: number(rules, "drain_grace_ms", 0.0),
-        idle_most_ms: number(own, "keepalive_max_ms", f64::MAX),
+        idle_most_ms: number(own, "keepalive_max_ms", 0.0),
         cool_down_most_ms: if flag(limits, "retry_after") {
             number(limits, "max_retry_after_ms", 0.0)
         } else {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,8 +21,6 @@
 const UNREAD_FADES: f64 = 0.97;
 /// At this part of the least contract time unread, callers are advised to send nothing.
 const UNREAD_CLOSES: f64 = 0.5;
-/// Where arrivals lie unread for longer, the cores are behind.
-const STORM_UNREAD_MS: f64 = 100.0;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
 /// How far between one a core and the hard quota the soft quota lies.
 const SOFT_PART: f64 = 0.25;
@@ -48,11 +46,10 @@
 const KEPT_ELSEWHERE: f64 = 0.8;
 /// An idle connection is worth its place when its caller comes back in about this time.
 const IDLE_EVEN_MS: f64 = 10000.0;
-const IDLE_LEAST_MS: f64 = 500.0;
-/// Steps of the idle span a period, up where more than so many tasks a core want one beside the runs.
+/// With more tasks a core that want one beside the runs, the cores are behind; steps of the idle span a period.
+const BESIDE_MOST: f64 = 2.0;
 const IDLE_UP: f64 = 1.4;
 const IDLE_DOWN: f64 = 0.8;
-const BESIDE_MOST: f64 = 2.0;
 
 /// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
@@ -72,10 +69,8 @@
 const AT_CALL_HARD: f64 = 1.5;
 const CALLERS_BACK: f64 = 0.9;
 const AT_CALL_SOFT: f64 = 0.33;
-/// Weight of a period's reading in smoothed gauges; steps of the advised share down and up.
+/// Weight of a period's reading in smoothed gauges; the least share that is advised.
 const SMOOTH: f64 = 0.15;
-const SHARE_DOWN: f64 = 0.1;
-const SHARE_UP: f64 = 0.01;
 const SHARE_LEAST: f64 = 0.1;
 /// How far the advised rank reaches into a bucket, for the part cut of it: not all callers heed.
 const ADVICE_PART: f64 = 1.5;
@@ -159,7 +154,6 @@
     awake: f64,
     beside: f64,
     ease: f64,
-    share: f64,
     /// Smoothed share of runs that end in error or are given up.
     failing: f64,
     /// Callers and checks have been told to stay away.
@@ -216,7 +210,6 @@
             awake: 1.0,
             beside: 0.0,
             ease: 1.0,
-            share: 1.0,
             failing: 0.0,
             away_told: false,
             unread_ms: 0.0,
@@ -250,9 +243,10 @@
             self.change(id, if room { State::Joined } else { State::Ended(Ending::Scrapped) });
             return self.result();
         }
-        // Expired work is shed before anything else: it can't be answered in its contract time.
+        // Expired work is shed before anything else: it can't be answered in its contract time. With nothing
+        // else running, one that only seems too late is tried: what was foreseen may be outdated.
         let foreseen = self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
-        if left <= 0.0 || (left < foreseen && self.others_run(id)) {
+        if left <= 0.0 || (left < foreseen && self.hand.on_core > 0) {
             self.dismiss(id, self.unread_ms, false);
             return self.result();
         }
@@ -349,8 +343,7 @@
     pub fn told_to_leave(&mut self, now: f64, stopped_at: f64) -> Outcome {
         self.pass_to(now);
         self.leaving = Some((now + self.facts.grace_ms, stopped_at - STOP_MARGIN_MS));
-        let owed = |i: &Invocation| !matches!(i.state, State::Spent { .. });
-        self.ids_of(owed).into_iter().for_each(|id| self.set_due(id));
+        self.ids_of(|i| !matches!(i.state, State::Spent { .. })).into_iter().for_each(|id| self.set_due(id));
         self.advise();
         self.result()
     }
@@ -487,7 +480,7 @@
         }
         let core_ms = invocation.core_ms + self.hand.core_clock - invocation.core_clock;
         let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
-        let ill = end == RunEnd::Error || (end == RunEnd::Stopped && self.unread_ms < STORM_UNREAD_MS);
+        let ill = end == RunEnd::Error || (end == RunEnd::Stopped && !self.behind());
         self.failing += FAILING_WEIGHT * (f64::from(u8::from(ill)) - self.failing);
         let row = &mut self.offerings[invocation.offering];
         if end != RunEnd::Error {
@@ -497,12 +490,6 @@
         }
     }
 
-    /// With nothing of its kind running, one that seems too late is tried: what was foreseen may be outdated.
-    fn others_run(&self, id: u32) -> bool {
-        let offering = self.hand.invocations[&id].offering;
-        self.hand.invocations.values().any(|i| i.offering == offering && i.state != State::Held)
-    }
-
     fn pass_to(&mut self, now: f64) {
         let passed = (now - self.now).max(0.0);
         self.now = now;
@@ -586,6 +573,11 @@
         (1.0 - self.unread_ms / (UNREAD_CLOSES * contract_ms)).max(0.0)
     }
 
+    /// Readings and new connections crowd the cores.
+    fn behind(&self) -> bool {
+        self.beside > BESIDE_MOST * self.facts.cores
+    }
+
     fn state(&self, id: u32) -> Option<State> {
         self.hand.invocations.get(&id).map(|i| i.state)
     }
@@ -706,8 +698,8 @@
     /// alike cut alike. So only a server that leaves or is sick sends on all, others what their cut of late
     /// would mostly keep; harms where this server alone is short and others have room.
     fn dismiss(&mut self, id: u32, cool_down_ms: f64, kept_elsewhere: bool) {
-        let most = self.facts.cool_down_most_ms;
-        let cool_down_ms = if self.away_told { most } else { cool_down_ms.min(most) };
+        let wanted_ms = if self.away_told { f64::MAX } else { cool_down_ms };
+        let cool_down_ms = wanted_ms.min(self.facts.cool_down_most_ms);
         let elsewhere_helps = kept_elsewhere || self.away_told;
         self.finish(id, Ending::Dismissed { cool_down_ms, elsewhere_helps });
     }
@@ -738,19 +730,7 @@
             let why = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
             self.out.words.notes.push(if gone { format!("stay away: {why}") } else { "well again".into() });
         }
-        let arrivals: f64 = self.offerings.iter().map(|o| o.tally).sum();
-        let back_ms = self.facts.callers * TALLY_HALF_MS / std::f64::consts::LN_2 / arrivals.max(1.0);
-        let least = (IDLE_EVEN_MS * IDLE_EVEN_MS / back_ms).clamp(IDLE_LEAST_MS, self.facts.idle_most_ms);
-        let crowded = self.beside > BESIDE_MOST * self.facts.cores;
-        self.idle_ms *= if crowded { IDLE_UP } else { IDLE_DOWN };
-        self.idle_ms = self.idle_ms.clamp(least, self.facts.idle_most_ms);
-        if (self.idle_ms / self.idle_told - 1.0).abs() > 0.2 {
-            self.idle_told = self.idle_ms;
-            self.out.words.idle_ms = Some(self.idle_ms);
-        }
-        let cut = 1.0 - self.ease;
-        let step = if cut * f64::from(STEPS) <= 1.0 { SHARE_UP } else { -SHARE_DOWN * cut * self.share };
-        self.share = (self.share + step).clamp(SHARE_LEAST, 1.0);
+        self.keep_idle();
         let level = match self.facts.advice {
             AdviceMeaning::Nothing => return,
             AdviceMeaning::LowestRank if gone => 1.0,
@@ -764,7 +744,7 @@
             AdviceMeaning::OutstandingPerCaller => {
                 self.facts.cores * self.quotas().1 * self.read_in_time().max(SHARE_LEAST) / self.facts.callers
             }
-            AdviceMeaning::ShareOfUsual => self.share,
+            AdviceMeaning::ShareOfUsual => self.ease.max(SHARE_LEAST),
         };
         if (level - self.advised).abs() > 0.02 {
             self.advised = level;
@@ -772,6 +752,22 @@
         }
     }
 
+    /// An idle connection stays as long as its caller may be expected back, so with many callers not long, as
+    /// each open one costs speed. Where the cores are behind it stays longer: a full table turns callers
+    /// back unseen, at no work. Guards against storms in which readings and new connections crowd out the
+    /// runs; harms where few callers open many connections each.
+    fn keep_idle(&mut self) {
+        let arrivals: f64 = self.offerings.iter().map(|o| o.tally).sum();
+        let back_ms = self.facts.callers * TALLY_HALF_MS / std::f64::consts::LN_2 / arrivals.max(1.0);
+        let least = (IDLE_EVEN_MS * IDLE_EVEN_MS / back_ms).max(PERIOD_MS);
+        let step = if self.behind() { IDLE_UP } else { IDLE_DOWN };
+        self.idle_ms = (self.idle_ms * step).max(least).min(self.facts.idle_most_ms);
+        if (self.idle_ms / self.idle_told - 1.0).abs() > 0.2 {
+            self.idle_told = self.idle_ms;
+            self.out.words.idle_ms = Some(self.idle_ms);
+        }
+    }
+
     // ---- the one place where states change ----------------------------------------------------------
 
     fn change(&mut self, id: u32, to: State) {
