--- a/src/logic.rs
+++ b/src/logic.rs
@@ -742,7 +742,7 @@
                 cut_rows.map(|o| o.ranks_from + into(o)).fold(0.0, f64::max)
             }
             AdviceMeaning::OutstandingPerCaller => {
-                self.facts.cores * self.quotas().1 * self.read_in_time().max(SHARE_LEAST) / self.facts.callers
+                (self.facts.cores * self.quotas().1 * self.read_in_time() / self.facts.callers).max(1.0)
             }
             AdviceMeaning::ShareOfUsual => self.ease.max(SHARE_LEAST),
         };
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -413,6 +413,17 @@
     assert!(told.iter().flatten().count() > 3);
 }
 
+#[test]
+fn a_window_shared_by_many_callers_lets_each_have_one_here() {
+    let told = |callers: f64| {
+        let advice = AdviceMeaning::OutstandingPerCaller;
+        let mut backend = started(StartFacts { advice, callers, ..facts() });
+        backend.woke(100.0, Wake::Periodic, Gauges::default()).words.advice
+    };
+    assert!(told(2.0) > Some(1.0));
+    assert_eq!(told(500.0), Some(1.0));
+}
+
 #[test]
 fn only_what_the_cut_of_late_mostly_keeps_is_sent_on() {
     let mut backend = running(10);
