--- a/crates/plovershelf-wirehost/src/facts.rs
+++ b/crates/plovershelf-wirehost/src/facts.rs
@@ -77,6 +77,7 @@
             Some("share_of") => AdviceMeaning::ShareOfUsual,
             _ => AdviceMeaning::Nothing,
         },
+        list_follows_health: flag(own, "readiness"),
         servers: number(&top, "group_size", 1.0).max(1.0),
         callers: number(own, "senders", 1.0).max(1.0),
         repeats_marked: flag(&top["clients"], "marks_retry"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,6 +62,8 @@
     pub call_linger_ms: f64,
     pub halting: Halting,
     pub advice: AdviceMeaning,
+    /// The list that callers go by drops servers whose health checks fail.
+    pub list_follows_health: bool,
     pub servers: f64,
     pub callers: f64,
     /// Later tries are marked as such.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,9 +35,8 @@
 const SAME_WAIT_MS: f64 = 25.0;
 const USUAL_VOTES: i32 = 40;
 const USUAL_WAITS: usize = 4;
-/// Memory that runs, and that repeats which wait for another's answer may fill; the rest is for what is read.
+/// Memory that runs and waiting repeats may fill; the rest is for what is read.
 const MEMORY_RUN: f64 = 0.80;
-const MEMORY_HOLD: f64 = 0.85;
 /// Before the process is stopped, all is answered so long ahead.
 const STOP_MARGIN_MS: f64 = 40.0;
 /// Cool-down told at the hard quota; in the soft band the part of it that is being cut.
@@ -56,6 +55,9 @@
 /// Callers are told to stay away when this share of runs of late ended in error or in no good time.
 const FAILING_WEIGHT: f64 = 0.1;
 const FAILING_SHARE: f64 = 0.6;
+/// Health checks fail while no more than this part of arrivals is let in; not where the list follows them, or
+/// a fleet that is overloaded as a whole would vanish from it.
+const FIT_LET_IN: f64 = 0.5;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
 /// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
@@ -158,6 +160,7 @@
     failing: f64,
     /// Callers and checks have been told to stay away.
     away_told: bool,
+    fit_told: bool,
     /// How long arrivals of late lay unread.
     unread_ms: f64,
     /// The order of cuts: the buckets of tenants over quota, lowest first, then those of all others; for each
@@ -212,6 +215,7 @@
             ease: 1.0,
             failing: 0.0,
             away_told: false,
+            fit_told: true,
             unread_ms: 0.0,
             buckets: values.len(),
             tallies: vec![0.0; 2 * values.len()],
@@ -239,7 +243,7 @@
         let left = self.take_in(&arrival);
         // A repeat of what is held, runs or ran is never run beside it: it shares that one's answer.
         if arrival.original.is_some() {
-            let room = self.memory_share() < MEMORY_HOLD;
+            let room = self.memory_share() < MEMORY_RUN;
             self.change(id, if room { State::Joined } else { State::Ended(Ending::Scrapped) });
             return self.result();
         }
@@ -440,13 +444,9 @@
     }
 
     fn tenant_over_quota(&self, tenant: usize) -> bool {
-        match (self.tenants.get(tenant), self.facts.tenant_quotas.get(tenant)) {
-            (Some(admitted), Some(quota)) => {
-                let per_s = admitted * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
-                per_s > quota / self.facts.servers
-            }
-            _ => false,
-        }
+        let per_s = |admitted: &f64| admitted * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
+        let quota = self.facts.tenant_quotas.get(tenant).map(|quota| quota / self.facts.servers);
+        self.tenants.get(tenant).zip(quota).is_some_and(|(admitted, quota)| per_s(admitted) > quota)
     }
 
     fn memory_share(&self) -> f64 {
@@ -724,9 +724,10 @@
 
     fn advise(&mut self) {
         let gone = self.leaving.is_some() || self.failing > FAILING_SHARE;
+        let fit = !gone && (self.facts.list_follows_health || self.ease > FIT_LET_IN);
+        self.out.words.fit = (fit != std::mem::replace(&mut self.fit_told, fit)).then_some(fit);
         if gone != self.away_told {
             self.away_told = gone;
-            self.out.words.fit = Some(!gone);
             let why = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
             self.out.words.notes.push(if gone { format!("stay away: {why}") } else { "well again".into() });
         }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -32,6 +32,7 @@
         call_linger_ms: 200.0,
         halting: Halting::Abort,
         advice: AdviceMeaning::LowestRank,
+        list_follows_health: false,
         servers: 4.0,
         callers: 2.0,
         repeats_marked: false,
@@ -424,6 +425,16 @@
     assert_eq!(told(500.0), Some(1.0));
 }
 
+#[test]
+fn health_checks_fail_while_little_is_let_in_but_not_where_the_list_follows_them() {
+    let fit = |list_follows_health: bool| {
+        let mut backend = started(StartFacts { list_follows_health, ..facts() });
+        backend.ease = 0.1;
+        backend.woke(100.0, Wake::Periodic, Gauges::default()).words.fit
+    };
+    assert_eq!((fit(false), fit(true)), (Some(false), None));
+}
+
 #[test]
 fn only_what_the_cut_of_late_mostly_keeps_is_sent_on() {
     let mut backend = running(10);
