--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,7 @@
 const KEPT_ELSEWHERE: f64 = 0.8;
 /// An idle connection is worth its place when its caller comes back in about this time.
 const IDLE_EVEN_MS: f64 = 10000.0;
-/// With more tasks a core that want one beside the runs, the cores are behind; steps of the idle span a period.
+/// With more tasks a core beside the runs the cores are behind; steps of the idle span a period.
 const BESIDE_MOST: f64 = 2.0;
 const IDLE_UP: f64 = 1.4;
 const IDLE_DOWN: f64 = 0.8;
@@ -694,9 +694,9 @@
         self.dismiss(id, self.facts.cool_down_most_ms, false);
     }
 
-    /// Trying elsewhere at once feeds storms: each try costs a reading and often a new connection, and servers
-    /// alike cut alike. So only a server that leaves or is sick sends on all, others what their cut of late
-    /// would mostly keep; harms where this server alone is short and others have room.
+    /// Trying elsewhere at once feeds storms: each try costs a reading and often a new connection, and
+    /// servers alike cut alike. So only a server that leaves or is sick sends on all, others what their cut
+    /// of late would mostly keep; harms where this server alone is short and others have room.
     fn dismiss(&mut self, id: u32, cool_down_ms: f64, kept_elsewhere: bool) {
         let wanted_ms = if self.away_told { f64::MAX } else { cool_down_ms };
         let cool_down_ms = wanted_ms.min(self.facts.cool_down_most_ms);
