--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,8 +19,6 @@
 const UNREAD_TAKEN: f64 = 4.0;
 const UNREAD_WEIGHT: f64 = 0.1;
 const UNREAD_FADES: f64 = 0.97;
-/// At this part of the least contract time unread, callers are advised to send nothing.
-const UNREAD_CLOSES: f64 = 0.5;
 const HARD_OF_SURVIVABLE: f64 = 0.5;
 /// How far between one a core and the hard quota the soft quota lies.
 const SOFT_PART: f64 = 0.25;
@@ -366,7 +364,7 @@
                 self.beside += SMOOTH * ((wanting - runs).max(0.0) - self.beside);
             }
             self.unread_ms *= UNREAD_FADES;
-            self.ease += SMOOTH * (self.part_let_in() * self.read_in_time() - self.ease);
+            self.ease += SMOOTH * (self.part_let_in() - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
         } else if now + 0.01 >= self.woken_for {
@@ -567,12 +565,6 @@
         }
     }
 
-    /// How far arrivals are read in time: from 1 at once down to 0.
-    fn read_in_time(&self) -> f64 {
-        let contract_ms = self.offerings.iter().map(|o| o.terms.contract_ms).fold(f64::MAX, f64::min);
-        (1.0 - self.unread_ms / (UNREAD_CLOSES * contract_ms)).max(0.0)
-    }
-
     /// Readings and new connections crowd the cores.
     fn behind(&self) -> bool {
         self.beside > BESIDE_MOST * self.facts.cores
@@ -661,10 +653,8 @@
     /// instant refusals are repeated without end. Harms where calls differ much in length by themselves.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
         let share = self.facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
-        // A share under one call is kept by resting after each.
         let paused = self.now < self.calls_after;
-        let rest_ms = took_ms * (1.0 / share - 1.0).max(0.0);
-        self.calls_after = self.calls_after.max(self.now + rest_ms);
+        self.rest_after(took_ms + if end == CallEnd::GivenUp { self.facts.call_linger_ms } else { 0.0 });
         if end != CallEnd::Ok {
             self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(1.0);
             if !paused {
@@ -682,6 +672,12 @@
         }
     }
 
+    /// A share under one call is kept by resting after each, also after those that were given up.
+    fn rest_after(&mut self, in_hand_ms: f64) {
+        let share = self.facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
+        self.calls_after = self.calls_after.max(self.now + in_hand_ms * (1.0 / share - 1.0).max(0.0));
+    }
+
     /// Nothing more is hoped for: the answer goes out at once.
     fn give_up(&mut self, id: u32) {
         let Some(invocation) = self.hand.invocations.get(&id) else { return };
@@ -743,7 +739,7 @@
                 cut_rows.map(|o| o.ranks_from + into(o)).fold(0.0, f64::max)
             }
             AdviceMeaning::OutstandingPerCaller => {
-                (self.facts.cores * self.quotas().1 * self.read_in_time() / self.facts.callers).max(1.0)
+                (self.facts.cores * self.quotas().1 / self.facts.callers).max(1.0)
             }
             AdviceMeaning::ShareOfUsual => self.ease.max(SHARE_LEAST),
         };
@@ -784,9 +780,8 @@
         self.hand.at_call = self.hand.at_call + usize::from(calls(to)) - usize::from(calls(from));
         let out = |s: State| usize::from(matches!(s, State::Calling { .. }));
         self.hand.calls_out = self.hand.calls_out + out(to) - out(from);
-        if out(from) > out(to) && matches!(to, State::Spent { .. }) {
-            self.hand.lingering.push(self.now + self.facts.call_linger_ms);
-        }
+        let began = invocation.call_began;
+        let abandoned = out(from) > out(to) && matches!(to, State::Spent { .. });
         let weight = |s: State| match s {
             State::Ended(_) => 0.0,
             s if runs(s) || calls(s) => self.facts.run_factor,
@@ -803,6 +798,10 @@
         if matches!(to, State::Ended(_)) {
             self.hand.invocations.remove(&id);
         }
+        if abandoned {
+            self.hand.lingering.push(self.now + self.facts.call_linger_ms);
+            self.rest_after(self.now - began + self.facts.call_linger_ms);
+        }
     }
 
     fn result(&mut self) -> Outcome {
