--- a/src/logic.rs
+++ b/src/logic.rs
@@ -150,7 +150,7 @@
     call_pause_ms: f64,
     calls_after: f64,
     busy: f64,
-    /// Smoothed: part of the runs that want a core, and part of arrivals let in.
+    /// Smoothed: part of the runs that want a core, what wants one beside the runs, part of arrivals let in.
     awake: f64,
     beside: f64,
     ease: f64,
@@ -161,14 +161,15 @@
     fit_told: bool,
     /// How long arrivals of late lay unread.
     unread_ms: f64,
-    /// The order of cuts: the buckets of tenants over quota, lowest first, then those of all others; for each
-    /// place in it a decaying tally of arrivals and the cycling counter.
+    /// The order of cuts: buckets of tenants over quota and of marked repeats (perhaps past their contract
+    /// time), then those of all others, lowest first; for each a decaying tally and the cycling counter.
     buckets: usize,
     tallies: Vec<f64>,
     counters: Vec<u32>,
     tenants: Vec<f64>,
     tally_time: f64,
     advised: f64,
+    /// How long idle connections are to stay, and the last span told.
     idle_ms: f64,
     idle_told: f64,
     chance: Pcg,
@@ -258,9 +259,9 @@
             return self.result();
         }
         // At the hard quota every arrival is refused.
-        let over_quota = self.tenant_over_quota(arrival.tenant) || arrival.marked_repeat;
+        let lowest = self.tenant_over_quota(arrival.tenant) || arrival.marked_repeat;
         let bucket = self.offerings[arrival.offering].bucket;
-        let place = if over_quota { bucket } else { self.buckets + bucket };
+        let place = if lowest { bucket } else { self.buckets + bucket };
         self.tallies[place] += 1.0;
         let part = self.part_let_in();
         let cool_down_ms = COOL_MS * (1.0 - part) + self.unread_ms;
@@ -269,7 +270,7 @@
             self.dismiss(id, cool_down_ms, kept_elsewhere);
             return self.result();
         }
-        // In the soft band, and only with busy cores: tenants over quota first, then the lowest ranks.
+        // In the soft band, and only with busy cores: tenants over quota and repeats, then the lowest ranks.
         if part < 1.0 {
             let kept = self.kept_of(place, part);
             self.counters[place] = (self.counters[place] + 1) % STEPS;
