One place for calls that were given up and for the share of calls; sending on is worked out only for the dismissed

The told share of calls less its margin was worked out in three places and is a field now; what a given-up call leaves behind (lingering, rest) was done once where callers give up and once where a call is abandoned, and is one function now; whether others would keep a dismissed one was worked out for every arrival.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -144,7 +144,8 @@
     now: f64,
     began: f64,
     leaving: Option<(f64, f64)>,
-    /// Calls in hand allowed now, the quickest call of late, and the pause after failures.
+    /// Calls that this backend may add, in hand allowed now, the quickest of late, the pause after failures.
+    call_share: f64,
     calls_most: f64,
     call_quick_ms: f64,
     call_pause_ms: f64,
@@ -197,6 +198,7 @@
             tally: 0.0,
             usual_waits: Vec::new(),
         });
+        let call_share = facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
         let mut backend = Backend {
             offerings: offerings.collect(),
             hand: InHand::default(),
@@ -204,7 +206,8 @@
             now,
             began: now,
             leaving: None,
-            calls_most: facts.call_share.map_or(f64::MAX, |share| (CALLS_OF_SHARE * share).max(1.0)),
+            call_share,
+            calls_most: call_share.max(1.0),
             call_quick_ms: f64::MAX,
             call_pause_ms: CALL_PAUSE_MS,
             calls_after: now,
@@ -250,24 +253,23 @@
         // else running, one that only seems too late is tried: what was foreseen may be outdated.
         let foreseen = self.foreseen_ms(arrival.offering, arrival.work_hint_ms);
         if left <= 0.0 || (left < foreseen && self.hand.on_core > 0) {
-            self.dismiss(id, self.unread_ms, false);
+            self.dismiss(id, self.unread_ms, None);
             return self.result();
         }
         // After the notice and its grace nothing is run.
         if self.leaving.is_some_and(|(grace_end, _)| now - arrival.unread_ms > grace_end) {
-            self.dismiss(id, self.facts.cool_down_most_ms, false);
+            self.dismiss(id, self.facts.cool_down_most_ms, None);
             return self.result();
         }
-        // At the hard quota every arrival is refused.
         let lowest = self.tenant_over_quota(arrival.tenant) || arrival.marked_repeat;
         let bucket = self.offerings[arrival.offering].bucket;
         let place = if lowest { bucket } else { self.buckets + bucket };
         self.tallies[place] += 1.0;
         let part = self.part_let_in();
         let cool_down_ms = COOL_MS * (1.0 - part) + self.unread_ms;
-        let kept_elsewhere = self.kept_of(place, self.ease) > KEPT_ELSEWHERE;
+        // At the hard quota every arrival is refused.
         if part <= 0.0 || !self.memory_allows(id) {
-            self.dismiss(id, cool_down_ms, kept_elsewhere);
+            self.dismiss(id, cool_down_ms, Some(place));
             return self.result();
         }
         // In the soft band, and only with busy cores: tenants over quota and repeats, then the lowest ranks.
@@ -275,7 +277,7 @@
             let kept = self.kept_of(place, part);
             self.counters[place] = (self.counters[place] + 1) % STEPS;
             if f64::from(self.counters[place]) >= kept * f64::from(STEPS) {
-                self.dismiss(id, cool_down_ms, kept_elsewhere);
+                self.dismiss(id, cool_down_ms, Some(place));
                 return self.result();
             }
         }
@@ -318,9 +320,6 @@
             } else if !rerunnable && end != CallEnd::ProvenNotRun {
                 self.give_up(id);
             }
-            if end == CallEnd::GivenUp {
-                self.hand.lingering.push(now + self.facts.call_linger_ms);
-            }
             self.place_calls();
         }
         self.result()
@@ -653,9 +652,8 @@
     /// they fail. Guards against a dependency that slows down, turns away or is gone: without the pause its
     /// instant refusals are repeated without end. Harms where calls differ much in length by themselves.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
-        let share = self.facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
         let paused = self.now < self.calls_after;
-        self.rest_after(took_ms + if end == CallEnd::GivenUp { self.facts.call_linger_ms } else { 0.0 });
+        self.rest_after(took_ms, end == CallEnd::GivenUp);
         if end != CallEnd::Ok {
             self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(1.0);
             if !paused {
@@ -669,14 +667,18 @@
         if took_ms > CALL_SLOW * self.call_quick_ms {
             self.calls_most = (self.calls_most * CALL_SHRINK_SLOW).max(1.0);
         } else {
-            self.calls_most = (self.calls_most + 1.0 / self.calls_most).min(share.max(1.0));
+            self.calls_most = (self.calls_most + 1.0 / self.calls_most).min(self.call_share.max(1.0));
         }
     }
 
-    /// A share under one call is kept by resting after each, also after those that were given up.
-    fn rest_after(&mut self, in_hand_ms: f64) {
-        let share = self.facts.call_share.map_or(f64::MAX, |share| CALLS_OF_SHARE * share);
-        self.calls_after = self.calls_after.max(self.now + in_hand_ms * (1.0 / share - 1.0).max(0.0));
+    /// A share under one call is kept by resting after each, also for as long as those given up may linger.
+    fn rest_after(&mut self, in_hand_ms: f64, lingers: bool) {
+        let linger_ms = if lingers { self.facts.call_linger_ms } else { 0.0 };
+        if lingers {
+            self.hand.lingering.push(self.now + linger_ms);
+        }
+        let rest_ms = (in_hand_ms + linger_ms) * (1.0 / self.call_share - 1.0).max(0.0);
+        self.calls_after = self.calls_after.max(self.now + rest_ms);
     }
 
     /// Nothing more is hoped for: the answer goes out at once.
@@ -688,16 +690,17 @@
             return;
         }
         self.learn_end(id, RunEnd::Stopped);
-        self.dismiss(id, self.facts.cool_down_most_ms, false);
+        self.dismiss(id, self.facts.cool_down_most_ms, None);
     }
 
     /// Trying elsewhere at once feeds storms: each try costs a reading and often a new connection, and
     /// servers alike cut alike. So only a server that leaves or is sick sends on all, others what their cut
     /// of late would mostly keep; harms where this server alone is short and others have room.
-    fn dismiss(&mut self, id: u32, cool_down_ms: f64, kept_elsewhere: bool) {
+    fn dismiss(&mut self, id: u32, cool_down_ms: f64, place: Option<usize>) {
         let wanted_ms = if self.away_told { f64::MAX } else { cool_down_ms };
         let cool_down_ms = wanted_ms.min(self.facts.cool_down_most_ms);
-        let elsewhere_helps = kept_elsewhere || self.away_told;
+        let kept = place.is_some_and(|place| self.kept_of(place, self.ease) > KEPT_ELSEWHERE);
+        let elsewhere_helps = kept || self.away_told;
         self.finish(id, Ending::Dismissed { cool_down_ms, elsewhere_helps });
     }
 
@@ -781,8 +784,8 @@
         self.hand.at_call = self.hand.at_call + usize::from(calls(to)) - usize::from(calls(from));
         let out = |s: State| usize::from(matches!(s, State::Calling { .. }));
         self.hand.calls_out = self.hand.calls_out + out(to) - out(from);
-        let began = invocation.call_began;
         let abandoned = out(from) > out(to) && matches!(to, State::Spent { .. });
+        let abandoned = abandoned.then_some(invocation.call_began);
         let weight = |s: State| match s {
             State::Ended(_) => 0.0,
             s if runs(s) || calls(s) => self.facts.run_factor,
@@ -799,10 +802,7 @@
         if matches!(to, State::Ended(_)) {
             self.hand.invocations.remove(&id);
         }
-        if abandoned {
-            self.hand.lingering.push(self.now + self.facts.call_linger_ms);
-            self.rest_after(self.now - began + self.facts.call_linger_ms);
-        }
+        abandoned.into_iter().for_each(|began| self.rest_after(self.now - began, true));
     }
 
     fn result(&mut self) -> Outcome {
