--- /dev/null
+++ b/crates/plovershelf-codec/src/agent.rs
@@ -0,0 +1,136 @@
+//! The lines spoken with the agent that owns the cores: commands to it, notices from it.
+
+use crate::lines::{bad, measure, number, take_body, take_line, words, BadLine};
+use crate::{try_id, TryId};
+
+/// Gauges that one answer may hold.
+const MOST_GAUGES: usize = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOver {
+    Success,
+    Failure,
+    Interrupted,
+    Nothing,
+}
+
+/// What the agent says. Numbered notices come once each and are told again on a new link.
+#[derive(Debug, PartialEq)]
+pub enum Notice<'a> {
+    Greeting { fresh: bool, up_for_ms: f64 },
+    Outcome { number: u64, id: TryId, over: RunOver, result: &'a [u8] },
+    Request { number: u64, id: TryId, call: &'a [u8] },
+    Sampled { tag: &'a [u8], gauges: Vec<f64> },
+    Refusal { command: &'a [u8], id: TryId },
+    Aside { number: u64 },
+}
+
+/// The first notice of what was read and the bytes it takes; `None` until it is whole. Bytes that belong to a
+/// notice are at most `most_body`.
+pub fn take(read: &[u8], most_body: usize) -> Result<Option<(Notice<'_>, usize)>, BadLine> {
+    let Some((line, used)) = take_line(read)? else { return Ok(None) };
+    let parts: Vec<&[u8]> = words(line).take(8 + MOST_GAUGES).collect();
+    let notice = match parts[..] {
+        [b"greeting", state, up_for] => greeting(state, up_for),
+        [b"outcome", n, id, over, _, length] => {
+            let (Some(number), Some(id), Some(over)) = (number(n), try_id(id), run_over(over)) else {
+                return bad("an outcome does not parse", line);
+            };
+            return with_body(read, line, used, length, most_body, |result| Notice::Outcome {
+                number,
+                id,
+                over,
+                result,
+            });
+        }
+        [b"request", n, id, length] => {
+            let (Some(number), Some(id)) = (number(n), try_id(id)) else {
+                return bad("a call does not parse", line);
+            };
+            return with_body(read, line, used, length, most_body, |call| Notice::Request {
+                number,
+                id,
+                call,
+            });
+        }
+        [b"sampled", tag, ref values @ ..] if values.len() <= MOST_GAUGES => {
+            let gauges: Option<Vec<f64>> = values.iter().map(|v| measure(v)).collect();
+            gauges.map(|gauges| Notice::Sampled { tag, gauges })
+        }
+        [b"refusal", command, id] => try_id(id).map(|id| Notice::Refusal { command, id }),
+        [b"aside", n, ..] => number(n).map(|number| Notice::Aside { number }),
+        _ => None,
+    };
+    match notice {
+        Some(notice) => Ok(Some((notice, used))),
+        None => bad("not a notice", line),
+    }
+}
+
+fn greeting<'a>(state: &[u8], up_for: &[u8]) -> Option<Notice<'a>> {
+    let fresh = match state {
+        b"booting" => true,
+        b"steady" => false,
+        _ => return None,
+    };
+    measure(up_for).map(|up_for_ms| Notice::Greeting { fresh, up_for_ms })
+}
+
+fn run_over(word: &[u8]) -> Option<RunOver> {
+    Some(match word {
+        b"success" => RunOver::Success,
+        b"failure" => RunOver::Failure,
+        b"interrupted" => RunOver::Interrupted,
+        b"nothing" => RunOver::Nothing,
+        _ => return None,
+    })
+}
+
+fn with_body<'a>(
+    read: &'a [u8],
+    line: &[u8],
+    used: usize,
+    length: &[u8],
+    most_body: usize,
+    make: impl FnOnce(&'a [u8]) -> Notice<'a>,
+) -> Result<Option<(Notice<'a>, usize)>, BadLine> {
+    let Some(length) = number(length).filter(|length| *length <= most_body) else {
+        return bad("a length is out of bounds", line);
+    };
+    Ok(take_body(read, used, length)?.map(|(body, end)| (make(body), end)))
+}
+
+pub fn subscribe(last_read: u64) -> Vec<u8> {
+    format!("subscribe {last_read}\r\n").into_bytes()
+}
+
+pub fn launch(id: &TryId, offering: &str, body: &[u8]) -> Vec<u8> {
+    let mut line = [b"launch ", &id[..], b" ", offering.as_bytes()].concat();
+    push_body(&mut line, body);
+    line
+}
+
+pub fn freeze(id: &TryId) -> Vec<u8> {
+    [b"freeze ", &id[..], b"\r\n"].concat()
+}
+
+/// Go on without the call that the run waits for, where the site allows that.
+pub fn forgo(id: &TryId) -> Vec<u8> {
+    [b"forgo ", &id[..], b"\r\n"].concat()
+}
+
+pub fn deliver(id: &TryId, reply: &[u8]) -> Vec<u8> {
+    let mut line = [b"deliver ", &id[..]].concat();
+    push_body(&mut line, reply);
+    line
+}
+
+pub fn sample(tag: u64) -> Vec<u8> {
+    format!("sample {tag}\r\n").into_bytes()
+}
+
+pub(crate) fn push_body(line: &mut Vec<u8>, body: &[u8]) {
+    line.extend_from_slice(format!(" {}\r\n", body.len()).as_bytes());
+    line.extend_from_slice(body);
+    line.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/plovershelf-codec/src/ledger.rs
@@ -0,0 +1,53 @@
+//! The lines spoken with the ledger that all backends share.
+
+use crate::agent::push_body;
+use crate::lines::{bad, number, take_body, take_line, words, BadLine};
+use crate::{try_id, TryId};
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer<'a> {
+    Done(&'a [u8]),
+    /// Turned away: it never ran.
+    Wait,
+    /// It failed and may have had its effect.
+    Error,
+    /// It ran out of time or its run has ended; it may have had its effect.
+    Past,
+    /// No run waits for it: it never ran.
+    Empty,
+}
+
+/// The first answer of what was read and the bytes it takes; `None` until it is whole.
+pub fn take(read: &[u8], most_body: usize) -> Result<Option<(TryId, Answer<'_>, usize)>, BadLine> {
+    let Some((line, used)) = take_line(read)? else { return Ok(None) };
+    let parts: Vec<&[u8]> = words(line).take(4).collect();
+    let (id, answer) = match parts[..] {
+        [id, b"DONE", length] => {
+            let (Some(id), Some(length)) = (try_id(id), number(length).filter(|l| *l <= most_body)) else {
+                return bad("an answer does not parse", line);
+            };
+            return Ok(take_body(read, used, length)?.map(|(reply, end)| (id, Answer::Done(reply), end)));
+        }
+        [id, b"WAIT"] => (id, Answer::Wait),
+        [id, b"ERROR"] => (id, Answer::Error),
+        [id, b"PAST"] => (id, Answer::Past),
+        [id, b"EMPTY"] => (id, Answer::Empty),
+        _ => return bad("not an answer", line),
+    };
+    match try_id(id) {
+        Some(id) => Ok(Some((id, answer, used))),
+        None => bad("an answer names no call", line),
+    }
+}
+
+/// Places a call; the wait is told in whole milliseconds, one at least.
+pub fn call(id: &TryId, within_ms: f64, body: &[u8]) -> Vec<u8> {
+    let wait = format!(" {}", within_ms.max(1.0).floor() as u64);
+    let mut line = [b"OP ", &id[..], wait.as_bytes()].concat();
+    push_body(&mut line, body);
+    line
+}
+
+pub fn give_up(id: &TryId) -> Vec<u8> {
+    [b"UNOP ", &id[..], b"\r\n"].concat()
+}
--- a/crates/plovershelf-wirehost/src/facts.rs
+++ b/crates/plovershelf-facts/src/lib.rs
@@ -1,14 +1,33 @@
-//! Start facts out of the settings text.
+//! Start facts out of the settings, for every program that hosts backends.
 
-use plovershelf::interface::{AdviceMeaning, Halting, OfferingTerms, Repeats, StartFacts};
+use plovershelf::interface::{AdviceMeaning, Gauges, Halting, OfferingTerms, Repeats, StartFacts};
 use serde_json::Value;
 
-/// The facts, and the names of the gauges in the order in which their values come.
+/// The facts, and the names by which the outside knows what they tell.
 pub struct Start {
     pub facts: StartFacts,
+    /// In the order of the facts' offerings and tenants.
+    pub offerings: Vec<String>,
+    pub tenants: Vec<String>,
+    /// The gauges in the order in which their values come.
     pub meters: Vec<String>,
 }
 
+impl Start {
+    /// The gauges that the module knows, out of values in the order of the settings.
+    pub fn gauges(&self, values: impl IntoIterator<Item = f64>) -> Gauges {
+        let mut read = Gauges::default();
+        for (name, value) in self.meters.iter().zip(values) {
+            match name.as_str() {
+                "cpu_busy" => read.cores_busy = Some(value),
+                "runnable" => read.wanting_core = Some(value),
+                _ => {}
+            }
+        }
+        read
+    }
+}
+
 fn number(value: &Value, key: &str, default: f64) -> f64 {
     value[key].as_f64().unwrap_or(default)
 }
@@ -21,8 +40,16 @@
     value[key].as_array().map_or(&[], Vec::as_slice)
 }
 
+fn names(value: &Value, key: &str) -> Vec<String> {
+    list(value, key).iter().map(|row| row["name"].as_str().unwrap_or("").to_string()).collect()
+}
+
 pub fn read(text: &str, seed: u64) -> Result<Start, String> {
-    let top: Value = serde_json::from_str(text).map_err(|e| format!("settings don't parse: {e}"))?;
+    read_value(&serde_json::from_str(text).map_err(|e| format!("settings don't parse: {e}"))?, seed)
+}
+
+/// The same from settings that stand inside a larger document.
+pub fn read_value(top: &Value, seed: u64) -> Result<Start, String> {
     if !top.is_object() {
         return Err("settings are not an object".to_string());
     }
@@ -30,7 +57,7 @@
     let rules = &top["rules"];
     let limits = &top["policy_limits"];
     let of = |key: &str, place: usize| list(own, key).get(place);
-    let offerings: Vec<OfferingTerms> = list(&top, "classes")
+    let offerings: Vec<OfferingTerms> = list(top, "classes")
         .iter()
         .enumerate()
         .map(|(place, class)| OfferingTerms {
@@ -59,7 +86,7 @@
     let facts = StartFacts {
         seed,
         offerings,
-        tenant_quotas: list(&top, "tenants").iter().map(|t| number(t, "quota_per_s", f64::MAX)).collect(),
+        tenant_quotas: list(top, "tenants").iter().map(|t| number(t, "quota_per_s", f64::MAX)).collect(),
         cores,
         memory_kb,
         run_factor: number(own, "run_factor", 1.0),
@@ -78,7 +105,7 @@
             _ => AdviceMeaning::Nothing,
         },
         list_follows_health: flag(own, "readiness"),
-        servers: number(&top, "group_size", 1.0).max(1.0),
+        servers: number(top, "group_size", 1.0).max(1.0),
         callers: number(own, "senders", 1.0).max(1.0),
         repeats_marked: flag(&top["clients"], "marks_retry"),
         just_started: flag(own, "just_started"),
@@ -95,5 +122,5 @@
         share_answers_ms: number(own, "share_for_ms", 0.0),
     };
     let meters = list(own, "meters").iter().map(|m| m.as_str().unwrap_or("").to_string()).collect();
-    Ok(Start { facts, meters })
+    Ok(Start { facts, offerings: names(top, "classes"), tenants: names(top, "tenants"), meters })
 }
--- /dev/null
+++ b/crates/plovershelf-server/src/agent.rs
@@ -0,0 +1,176 @@
+//! The link with the agent that owns the cores: kept open, taken up again where it broke.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt};
+use plovershelf_codec::agent::{self, Notice, RunOver};
+use plovershelf_codec::TryId;
+
+use crate::inflow::Inflow;
+use crate::limits::Limits;
+use crate::owner::Event;
+
+/// The tag of the sample that tells when all notices of before have been read. Others begin at 1.
+const FENCE: u64 = 0;
+
+/// What the agent says, as the owner needs it.
+pub enum Said {
+    /// A link is up and all that was missed has been told. `orders` takes the bytes of commands.
+    Up {
+        fresh: bool,
+        up_for_ms: f64,
+        orders: Sender<Vec<u8>>,
+    },
+    Down,
+    RunOver {
+        id: TryId,
+        over: RunOver,
+        result: Vec<u8>,
+    },
+    WantsCall {
+        id: TryId,
+        call: Vec<u8>,
+    },
+    Sampled {
+        tag: u64,
+        gauges: Vec<f64>,
+    },
+    Refused {
+        command: String,
+        id: TryId,
+    },
+}
+
+pub async fn keep_link(address: SocketAddr, inbox: Sender<Event>, limits: Rc<Limits>) {
+    let mut last_read = 0;
+    let mut rest_ms = limits.retry_first_ms;
+    loop {
+        let before = last_read;
+        let mut greeted = false;
+        match Async::<TcpStream>::connect(address).await {
+            Ok(stream) => {
+                let ended = link(&stream, &mut last_read, &mut greeted, &inbox, &limits).await;
+                tracing::warn!("the agent's link ended after notice {last_read}: {}", ended.unwrap_err());
+            }
+            Err(error) => tracing::debug!("connecting to the agent: {error}"),
+        }
+        if inbox.send(Event::Agent(Said::Down)).await.is_err() {
+            return;
+        }
+        rest_ms = if greeted || last_read > before { limits.retry_first_ms } else { rest_ms };
+        Timer::after(Duration::from_millis(rest_ms)).await;
+        rest_ms = (2 * rest_ms).min(limits.retry_most_ms);
+    }
+}
+
+fn broken(what: impl Into<String>) -> io::Error {
+    io::Error::other(what.into())
+}
+
+/// One link from its first line to its end, which is always an error.
+async fn link(
+    stream: &Async<TcpStream>,
+    last_read: &mut u64,
+    greeted: &mut bool,
+    inbox: &Sender<Event>,
+    limits: &Limits,
+) -> io::Result<std::convert::Infallible> {
+    stream.get_ref().set_nodelay(true)?;
+    let (sender, orders) = async_channel::bounded::<Vec<u8>>(limits.orders);
+    // Nothing but the fence is written before all that was missed has been read.
+    let first = [agent::subscribe(*last_read), agent::sample(FENCE)].concat();
+    let write = async {
+        write_all(stream, &first, limits).await?;
+        write_orders(stream, orders, limits).await
+    };
+    let read = async {
+        let mut inflow = Inflow::new(limits.body_bytes + 2048, limits.read_bytes);
+        let mut greeting = None;
+        let mut sender = Some(sender);
+        loop {
+            let took = agent::take(inflow.bytes(), limits.body_bytes).map_err(|bad| broken(bad.0))?;
+            let Some((notice, used)) = took else {
+                if !inflow.fill(stream).await? {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                continue;
+            };
+            let said = match notice {
+                Notice::Greeting { fresh, up_for_ms } => {
+                    *greeted = true;
+                    greeting = Some((fresh, up_for_ms));
+                    None
+                }
+                Notice::Outcome { number, id, over, result } => fresh_notice(number, last_read)
+                    .then(|| Said::RunOver { id, over, result: result.to_vec() }),
+                Notice::Request { number, id, call } => {
+                    fresh_notice(number, last_read).then(|| Said::WantsCall { id, call: call.to_vec() })
+                }
+                Notice::Sampled { tag, gauges } => {
+                    let tag = std::str::from_utf8(tag).ok().and_then(|tag| tag.parse().ok());
+                    match (tag, greeting, sender.take()) {
+                        (Some(FENCE), Some((fresh, up_for_ms)), Some(orders)) => {
+                            Some(Said::Up { fresh, up_for_ms, orders })
+                        }
+                        (Some(tag), _, again) => {
+                            sender = again;
+                            Some(Said::Sampled { tag, gauges })
+                        }
+                        (None, _, _) => return Err(broken("a sample with a foreign tag")),
+                    }
+                }
+                Notice::Refusal { command, id } => {
+                    Some(Said::Refused { command: String::from_utf8_lossy(command).into_owned(), id })
+                }
+                Notice::Aside { number } => {
+                    fresh_notice(number, last_read);
+                    None
+                }
+            };
+            inflow.used(used);
+            if let Some(said) = said {
+                inbox.send(Event::Agent(said)).await.map_err(|_| broken("the program ends"))?;
+            }
+        }
+    };
+    future::or(read, write).await
+}
+
+/// Each notice counts once, however often it is told.
+fn fresh_notice(number: u64, last_read: &mut u64) -> bool {
+    if number <= *last_read {
+        return false;
+    }
+    if number > *last_read + 1 {
+        tracing::warn!("notices between {last_read} and {number} were never told");
+    }
+    *last_read = number;
+    true
+}
+
+async fn write_orders(
+    stream: &Async<TcpStream>,
+    orders: Receiver<Vec<u8>>,
+    limits: &Limits,
+) -> io::Result<std::convert::Infallible> {
+    while let Ok(mut bytes) = orders.recv().await {
+        while let Ok(more) = orders.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        write_all(stream, &bytes, limits).await?;
+    }
+    Err(broken("no more orders are taken"))
+}
+
+pub async fn write_all(mut stream: &Async<TcpStream>, bytes: &[u8], limits: &Limits) -> io::Result<()> {
+    let stalled = async {
+        Timer::after(Duration::from_millis(limits.stall_ms)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(stream.write_all(bytes), stalled).await
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -0,0 +1,126 @@
+//! Calls to the ledger that all backends share: many on one connection, which is opened when one is due.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use plovershelf::interface::CallEnd;
+use plovershelf_codec::ledger::{self, Answer};
+use plovershelf_codec::TryId;
+
+use crate::agent::write_all;
+use crate::inflow::Inflow;
+use crate::limits::Limits;
+use crate::owner::Event;
+
+pub enum Order {
+    Call { id: TryId, within_ms: f64, body: Vec<u8> },
+    GiveUp { id: TryId },
+}
+
+pub async fn keep_calls(
+    address: SocketAddr,
+    orders: Receiver<Order>,
+    inbox: Sender<Event>,
+    limits: Rc<Limits>,
+) {
+    while let Ok(order) = orders.recv().await {
+        let Order::Call { id, .. } = order else { continue };
+        let late = async {
+            Timer::after(Duration::from_millis(limits.connect_ms)).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        match future::or(Async::<TcpStream>::connect(address), late).await {
+            Ok(stream) => {
+                let out = RefCell::new(BTreeSet::new());
+                if let Err(error) = converse(&stream, order, &orders, &out, &inbox, &limits).await {
+                    tracing::warn!("the ledger's connection broke in {} calls: {error}", out.borrow().len());
+                }
+                // What was out on a connection that broke proves nothing.
+                for id in out.take() {
+                    tell(&inbox, id, CallEnd::PerhapsRun, Vec::new()).await;
+                }
+            }
+            Err(error) => {
+                tracing::debug!("connecting to the ledger: {error}");
+                tell(&inbox, id, CallEnd::ProvenNotRun, Vec::new()).await;
+            }
+        }
+    }
+}
+
+async fn tell(inbox: &Sender<Event>, id: TryId, end: CallEnd, reply: Vec<u8>) {
+    let _ = inbox.send(Event::CallOver { id, end, reply }).await;
+}
+
+/// One connection from its first call until it breaks or has been idle for long enough.
+async fn converse(
+    stream: &Async<TcpStream>,
+    first: Order,
+    orders: &Receiver<Order>,
+    out: &RefCell<BTreeSet<TryId>>,
+    inbox: &Sender<Event>,
+    limits: &Limits,
+) -> io::Result<()> {
+    stream.get_ref().set_nodelay(true)?;
+    let write = async {
+        let mut next = Some(first);
+        loop {
+            let mut bytes = Vec::new();
+            while let Some(order) = next {
+                match order {
+                    Order::Call { id, within_ms, body } => {
+                        out.borrow_mut().insert(id);
+                        bytes.extend(ledger::call(&id, within_ms, &body));
+                    }
+                    // A call that is over needs no giving up.
+                    Order::GiveUp { id } if out.borrow_mut().remove(&id) => {
+                        bytes.extend(ledger::give_up(&id));
+                    }
+                    Order::GiveUp { .. } => {}
+                }
+                next = orders.try_recv().ok();
+            }
+            write_all(stream, &bytes, limits).await?;
+            let idle = async {
+                Timer::after(Duration::from_millis(limits.ledger_idle_ms)).await;
+                None
+            };
+            next = future::or(async { orders.recv().await.ok() }, idle).await;
+            if next.is_none() && (out.borrow().is_empty() || orders.is_closed()) {
+                return Ok(());
+            }
+        }
+    };
+    let read = async {
+        let mut inflow = Inflow::new(limits.body_bytes + 2048, limits.read_bytes);
+        loop {
+            let took = ledger::take(inflow.bytes(), limits.body_bytes).map_err(|b| io::Error::other(b.0))?;
+            let Some((id, answer, used)) = took else {
+                if !inflow.fill(stream).await? {
+                    let idle = out.borrow().is_empty();
+                    return if idle { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+                }
+                continue;
+            };
+            let (end, reply) = match answer {
+                Answer::Done(reply) => (CallEnd::Ok, reply.to_vec()),
+                Answer::Wait | Answer::Empty => (CallEnd::ProvenNotRun, Vec::new()),
+                Answer::Error => (CallEnd::PerhapsRun, Vec::new()),
+                Answer::Past => (CallEnd::GivenUp, Vec::new()),
+            };
+            inflow.used(used);
+            // Answers to calls that were given up come too late to count.
+            if out.borrow_mut().remove(&id) {
+                tell(inbox, id, end, reply).await;
+            }
+        }
+    };
+    future::or(read, write).await
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/limits.rs
@@ -0,0 +1,78 @@
+//! Sizes, counts and times that bound the program. Filled once at start and handed down.
+
+/// Descriptors kept back for the listener, the agent, the ledger, the roster, the standard streams and the
+/// event queue.
+const RESERVED_SOCKETS: usize = 32;
+/// Memory that one connection may come to hold, for the number of connections that memory allows.
+const CONNECTION_BYTES: usize = 64 << 10;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections of sidecars at once.
+    pub connections: usize,
+    /// Invocations open on one connection.
+    pub open_each: usize,
+    /// A frame, a result and a reply of the ledger.
+    pub frame_bytes: usize,
+    pub body_bytes: usize,
+    /// Bytes that one read takes.
+    pub read_bytes: usize,
+    /// All that open invocations hold, all that waits to be written, and the same for one connection.
+    pub open_bytes: usize,
+    pub unwritten_bytes: usize,
+    pub unwritten_each: usize,
+    /// Results that are remembered for repeats.
+    pub remembered_bytes: usize,
+    /// Places in the queue to the owner, and in the ones from it.
+    pub events: usize,
+    pub orders: usize,
+    /// A peer that takes nothing for so long is given up.
+    pub stall_ms: u64,
+    /// Between tries to connect, at first and at most.
+    pub retry_first_ms: u64,
+    pub retry_most_ms: u64,
+    pub connect_ms: u64,
+    /// The ledger closes what is idle for 10 s; this side does so earlier, so that no call crosses that.
+    pub ledger_idle_ms: u64,
+    pub beat_ms: u64,
+    /// A wake waits so long for its gauges.
+    pub gauges_ms: f64,
+    /// Entries of the memory of repeats outlive their span by this, for what is read late.
+    pub read_late_ms: f64,
+    /// Accepting rests so long when descriptors are short.
+    pub accept_rest_ms: u64,
+    /// Before it is killed, the program ends this much earlier by itself.
+    pub exit_early_ms: f64,
+    /// Lines a second in the log about what peers do wrong.
+    pub complaints_a_second: u32,
+}
+
+impl Limits {
+    pub fn of(memory_mb: f64, sockets: usize) -> Self {
+        let memory = (memory_mb * 1024.0 * 1024.0) as usize;
+        Limits {
+            connections: sockets.saturating_sub(RESERVED_SOCKETS).min(memory / CONNECTION_BYTES).max(4),
+            open_each: 32,
+            frame_bytes: 8 << 10,
+            body_bytes: 8 << 10,
+            read_bytes: 4 << 10,
+            open_bytes: memory * 2 / 5,
+            unwritten_bytes: memory / 5,
+            unwritten_each: 256 << 10,
+            remembered_bytes: memory / 10,
+            events: 256,
+            orders: 4096,
+            stall_ms: 10_000,
+            retry_first_ms: 10,
+            retry_most_ms: 500,
+            connect_ms: 1000,
+            ledger_idle_ms: 8000,
+            beat_ms: 700,
+            gauges_ms: 25.0,
+            read_late_ms: 10_000.0,
+            accept_rest_ms: 5,
+            exit_early_ms: 20.0,
+            complaints_a_second: 10,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/main.rs
@@ -0,0 +1,86 @@
+//! One backend on real sockets: starts the parts, hands them their queues, and waits for the end.
+
+mod agent;
+mod inflow;
+mod launch;
+mod ledger;
+mod limits;
+mod owner;
+mod repeats;
+mod roster;
+mod sidecars;
+
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+
+use launch::Launch;
+use owner::{Event, Owner};
+
+fn serve(launch: Launch) -> Result<(), String> {
+    let listener = Async::<TcpListener>::bind(launch.listen)
+        .map_err(|e| format!("listening on {}: {e}", launch.listen))?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    // Tasks start others on it, so it lives as long as the program.
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    let limits = Rc::new(launch.limits);
+    let (events, inbox) = async_channel::bounded(limits.events);
+    let (calls, orders) = async_channel::bounded(limits.orders);
+    let (slots, leaving) = (Rc::new(()), Rc::new(Cell::new(false)));
+
+    let agent = agent::keep_link(launch.agent, events.clone(), limits.clone());
+    executor.spawn(agent).detach();
+    let ledger = ledger::keep_calls(launch.ledger, orders, events.clone(), limits.clone());
+    executor.spawn(ledger).detach();
+    let every = Duration::from_millis(limits.beat_ms);
+    executor.spawn(roster::keep_listed(launch.roster, launch.name.clone(), leaving.clone(), every)).detach();
+    let accept = sidecars::accept(executor, listener, slots.clone(), events.clone(), limits.clone());
+    let accepting = executor.spawn(accept);
+    let told = async move {
+        while signals.next().await.is_some() {
+            let _ = events.send(Event::Leave).await;
+        }
+    };
+    executor.spawn(told).detach();
+
+    tracing::info!("{} listens on {}", launch.name, launch.listen);
+    let mut owner = Owner::new(launch.start, launch.stop_ms, limits.clone(), inbox, calls, leaving);
+    let run = async {
+        owner.run().await;
+        drop(accepting);
+        // What was answered last is still on its way out of the connections' own tasks.
+        drop(owner);
+        let written = async {
+            while Rc::strong_count(&slots) > 1 {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        };
+        let late = Timer::after(Duration::from_secs_f64(limits.exit_early_ms / 2000.0));
+        future::or(written, async {
+            late.await;
+        })
+        .await;
+    };
+    async_io::block_on(executor.run(run));
+    tracing::info!("ended as told");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let logs = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    logs.with_max_level(tracing::Level::INFO).init();
+    match launch::from_environment().and_then(serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("plovershelf-server: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/sidecars.rs
@@ -0,0 +1,150 @@
+//! Connections of sidecars: accepting them, frames in, frames out.
+
+use std::cell::Cell;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt};
+use plovershelf_codec::front;
+
+use crate::inflow::Inflow;
+use crate::limits::Limits;
+use crate::owner::Event;
+
+/// Frames on their way to one connection. Dropping it ends the connection when all of them are written.
+pub struct Outbox {
+    frames: Sender<Vec<u8>>,
+    unwritten: Rc<Cell<usize>>,
+    unwritten_all: Rc<Cell<usize>>,
+    most: usize,
+    most_all: usize,
+}
+
+impl Outbox {
+    /// False when the peer reads too slowly for more to be kept for it.
+    pub fn push(&self, frame: Vec<u8>) -> bool {
+        let length = frame.len();
+        let fits = self.unwritten.get() + length <= self.most
+            && self.unwritten_all.get() + length <= self.most_all
+            && self.frames.try_send(frame).is_ok();
+        if fits {
+            self.unwritten.set(self.unwritten.get() + length);
+            self.unwritten_all.set(self.unwritten_all.get() + length);
+        }
+        fits
+    }
+}
+
+/// Accepts until the listener's owner drops the task. `slots` is held by each connection: its count tells
+/// how many there are.
+pub async fn accept(
+    executor: &LocalExecutor<'static>,
+    listener: Async<TcpListener>,
+    slots: Rc<()>,
+    inbox: Sender<Event>,
+    limits: Rc<Limits>,
+) {
+    let unwritten_all = Rc::new(Cell::new(0));
+    for number in 0.. {
+        while Rc::strong_count(&slots) > limits.connections {
+            if inbox.send(Event::Crowded).await.is_err() {
+                return;
+            }
+            Timer::after(Duration::from_millis(limits.accept_rest_ms)).await;
+        }
+        let stream = loop {
+            match listener.accept().await {
+                Ok((stream, _)) => break stream,
+                Err(error) => {
+                    tracing::warn!("accepting: {error}");
+                    let _ = inbox.send(Event::Crowded).await;
+                    Timer::after(Duration::from_millis(limits.accept_rest_ms)).await;
+                }
+            }
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        let stream = Rc::new(stream);
+        let (sender, frames) = async_channel::unbounded();
+        let outbox = Outbox {
+            frames: sender,
+            unwritten: Rc::default(),
+            unwritten_all: unwritten_all.clone(),
+            most: limits.unwritten_each,
+            most_all: limits.unwritten_bytes,
+        };
+        let (unwritten, all) = (outbox.unwritten.clone(), unwritten_all.clone());
+        if inbox.send(Event::Opened { connection: number, outbox }).await.is_err() {
+            return;
+        }
+        let (writing, held, stall_ms) = (stream.clone(), slots.clone(), limits.stall_ms);
+        let write = async move {
+            write_frames(&writing, frames, &unwritten, &all, stall_ms).await;
+            let _ = writing.get_ref().shutdown(std::net::Shutdown::Both);
+            all.set(all.get() - unwritten.get());
+            drop(held);
+        };
+        executor.spawn(write).detach();
+        let (inbox, limits) = (inbox.clone(), limits.clone());
+        let read = async move {
+            let garbled = read_frames(&stream, number, &inbox, &limits).await;
+            drop(stream);
+            let _ = inbox.send(Event::Ended { connection: number, garbled }).await;
+        };
+        executor.spawn(read).detach();
+    }
+}
+
+/// Hands on frames until the connection ends; tells what is wrong if they can't be told apart any more.
+async fn read_frames(
+    stream: &Async<TcpStream>,
+    connection: u64,
+    inbox: &Sender<Event>,
+    limits: &Limits,
+) -> Option<&'static str> {
+    let mut inflow = Inflow::new(4 + limits.frame_bytes, limits.read_bytes);
+    loop {
+        match front::frame_length(inflow.bytes(), limits.frame_bytes) {
+            Ok(Some(length)) if inflow.bytes().len() >= 4 + length => {
+                let frame = inflow.bytes()[4..4 + length].to_vec();
+                inflow.used(4 + length);
+                if inbox.send(Event::Frame { connection, frame }).await.is_err() {
+                    return None;
+                }
+            }
+            Ok(_) => match inflow.fill(stream).await {
+                Ok(true) => {}
+                _ => return None,
+            },
+            Err(front::Fault::Garbled(what)) => return Some(what),
+            Err(front::Fault::Refused { .. }) => return Some("not a frame"),
+        }
+    }
+}
+
+/// Writes frames in order until there are no more or the peer takes none for too long.
+async fn write_frames(
+    mut stream: &Async<TcpStream>,
+    frames: Receiver<Vec<u8>>,
+    unwritten: &Cell<usize>,
+    all: &Cell<usize>,
+    stall_ms: u64,
+) {
+    while let Ok(mut bytes) = frames.recv().await {
+        while let Ok(more) = frames.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        let stalled = async {
+            Timer::after(Duration::from_millis(stall_ms)).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        if future::or(stream.write_all(&bytes), stalled).await.is_err() {
+            return;
+        }
+        unwritten.set(unwritten.get() - bytes.len());
+        all.set(all.get() - bytes.len());
+    }
+}
--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -2,16 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use plovershelf::interface::{Arrival, CallEnd, Change, Ending, Gauges, Outcome, RunEnd, State, Wake};
+use plovershelf::interface::{Arrival, CallEnd, Change, Ending, Outcome, RunEnd, State, Wake};
 use plovershelf::logic::Backend;
+use plovershelf_facts::Start;
 
-use crate::facts;
 use crate::frame::{Action, Batch, Event, Reply};
 
 struct Hosted {
     backend: Backend,
-    meters: Vec<String>,
-    offerings: usize,
+    start: Start,
 }
 
 #[derive(Default)]
@@ -39,11 +38,10 @@
         let (code, instance) = (event.u16(0), event.u32(2));
         let place = event.place;
         if code == 262 {
-            let start = facts::read(event.text(14)?, event.u64(6))
+            let start = plovershelf_facts::read(event.text(14)?, event.u64(6))
                 .map_err(|e| format!("record {place}, instance {instance}: {e}"))?;
-            let offerings = start.facts.offerings.len();
-            let (backend, outcome) = Backend::start(now, start.facts);
-            self.hosted.insert(instance, Hosted { backend, meters: start.meters, offerings });
+            let (backend, outcome) = Backend::start(now, start.facts.clone());
+            self.hosted.insert(instance, Hosted { backend, start });
             encode(instance, outcome, reply);
             return Ok(());
         }
@@ -55,7 +53,7 @@
         let outcome = match code {
             258 => {
                 let arrival = arrival(event);
-                if arrival.offering >= hosted.offerings {
+                if arrival.offering >= hosted.start.offerings.len() {
                     return Err(format!("record {place}: class {} is not in the settings", arrival.offering));
                 }
                 backend.arrived(now, arrival)
@@ -64,7 +62,7 @@
             264 => backend.wants_call(now, id),
             257 => {
                 let wake = if id == PERIODIC { Wake::Periodic } else { Wake::Due };
-                backend.woke(now, wake, gauges(event, &hosted.meters))
+                backend.woke(now, wake, hosted.start.gauges(gauges(event)))
             }
             259 => {
                 let end = match event.u16(10) {
@@ -114,18 +112,8 @@
     }
 }
 
-fn gauges(event: Event<'_>, meters: &[String]) -> Gauges {
-    let mut read = Gauges::default();
-    let told = usize::from(event.u8(10)).min(4);
-    for (place, name) in meters.iter().take(told).enumerate() {
-        let value = Some(event.f32(11 + 4 * place));
-        match name.as_str() {
-            "cpu_busy" => read.cores_busy = value,
-            "runnable" => read.wanting_core = value,
-            _ => {}
-        }
-    }
-    read
+fn gauges(event: Event<'_>) -> impl Iterator<Item = f64> + '_ {
+    (0..usize::from(event.u8(10)).min(4)).map(move |place| event.f32(11 + 4 * place))
 }
 
 fn encode(instance: u32, outcome: Outcome, reply: &mut Reply) {
--- a/crates/plovershelf-wirehost/src/main.rs
+++ b/crates/plovershelf-wirehost/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts backends on the bench's wire: frames in on standard input, one reply each on standard output.
 
-mod facts;
 mod frame;
 mod host;
 
