Calls in hand go by their mean time: single calls differ fiftyfold by themselves

Probe of one backend: cores 25 to 45 % busy, up to 18 runs waiting to call for 444 ms at the median, 506 calls without a failure that took 0 to 220 ms (median 34) and were 2 to 5 at once where the told share allows 15. Ruled out: the agent's link, late reading, crowded cores, memory (16 %), the ledger refusing. At fault: learn_call held each call against the quickest one of late, so nearly all counted as slow and the room shrank to 2 to 5. Now the mean of late is held against its least.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,7 +58,7 @@
 const FIT_LET_IN: f64 = 0.5;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
-/// Calls in hand shrink when one fails or takes so many times the quickest of late, and grow back by ones.
+/// Calls in hand shrink when one fails or when they take so many times the least mean of late, and grow back.
 const CALL_SLOW: f64 = 3.0;
 const CALL_SHRINK_SLOW: f64 = 0.95;
 const CALL_SHRINK_FAILED: f64 = 0.7;
@@ -144,9 +144,10 @@
     now: f64,
     began: f64,
     leaving: Option<(f64, f64)>,
-    /// Calls that this backend may add, in hand allowed now, the quickest of late, the pause after failures.
+    /// Calls that this backend may add, in hand allowed now, their mean time, its least, pause on failures.
     call_share: f64,
     calls_most: f64,
+    call_took_ms: f64,
     call_quick_ms: f64,
     call_pause_ms: f64,
     calls_after: f64,
@@ -208,6 +209,7 @@
             leaving: None,
             call_share,
             calls_most: call_share.max(1.0),
+            call_took_ms: CALL_PAUSE_MOST_MS,
             call_quick_ms: f64::MAX,
             call_pause_ms: CALL_PAUSE_MS,
             calls_after: now,
@@ -511,10 +513,9 @@
         let arrived = self.now - arrival.unread_ms;
         let answer_by = arrival.gives_up_at.unwrap_or((arrived + row.terms.hard_limit_ms).max(self.now));
         let patience = answer_by - arrived;
-        let mut waited = self.waited_before(arrival.offering, patience);
-        if arrival.gives_up_at.is_none() || (self.facts.repeats_marked && !arrival.marked_repeat) {
-            waited = 0.0;
-        }
+        let told = arrival.gives_up_at.is_some() && (!self.facts.repeats_marked || arrival.marked_repeat);
+        let waited = self.waited_before(arrival.offering, patience);
+        let waited = if told { waited } else { 0.0 };
         let row = &self.offerings[arrival.offering];
         let stretch = row.terms.contract_stretch * arrival.work_hint_ms.unwrap_or(0.0);
         let contract_ms = (row.terms.contract_ms + stretch).min(row.terms.hard_limit_ms);
@@ -648,9 +649,9 @@
         }
     }
 
-    /// Keeps calls in hand near what lies below takes without crowding, by how long they take and whether
-    /// they fail. Guards against a dependency that slows down, turns away or is gone: without the pause its
-    /// instant refusals are repeated without end. Harms where calls differ much in length by themselves.
+    /// Keeps calls in hand near what lies below takes without crowding, by whether they fail and by their
+    /// mean time, as single ones differ much. Guards against a dependency that slows, turns away or is gone:
+    /// without the pause its instant refusals are repeated without end. Harms where a slowdown is brief.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
         let paused = self.now < self.calls_after;
         self.rest_after(took_ms, end == CallEnd::GivenUp);
@@ -663,12 +664,12 @@
             return;
         }
         self.call_pause_ms = CALL_PAUSE_MS;
-        self.call_quick_ms = self.call_quick_ms.min(took_ms);
-        if took_ms > CALL_SLOW * self.call_quick_ms {
-            self.calls_most = (self.calls_most * CALL_SHRINK_SLOW).max(1.0);
-        } else {
-            self.calls_most = (self.calls_most + 1.0 / self.calls_most).min(self.call_share.max(1.0));
-        }
+        self.call_took_ms += SMOOTH * (took_ms - self.call_took_ms);
+        self.call_quick_ms = self.call_quick_ms.min(self.call_took_ms);
+        let slow = self.call_took_ms > CALL_SLOW * self.call_quick_ms;
+        let next =
+            if slow { self.calls_most * CALL_SHRINK_SLOW } else { self.calls_most + 1.0 / self.calls_most };
+        self.calls_most = next.min(self.call_share).max(1.0);
     }
 
     /// A share under one call is kept by resting after each, also for as long as those given up may linger.
@@ -697,10 +698,10 @@
     /// servers alike cut alike. So only a server that leaves or is sick sends on all, others what their cut
     /// of late would mostly keep; harms where this server alone is short and others have room.
     fn dismiss(&mut self, id: u32, cool_down_ms: f64, place: Option<usize>) {
-        let wanted_ms = if self.away_told { f64::MAX } else { cool_down_ms };
-        let cool_down_ms = wanted_ms.min(self.facts.cool_down_most_ms);
-        let kept = place.is_some_and(|place| self.kept_of(place, self.ease) > KEPT_ELSEWHERE);
-        let elsewhere_helps = kept || self.away_told;
+        let most_ms = self.facts.cool_down_most_ms;
+        let cool_down_ms = if self.away_told { most_ms } else { cool_down_ms.min(most_ms) };
+        let kept = |place| self.kept_of(place, self.ease) > KEPT_ELSEWHERE;
+        let elsewhere_helps = self.away_told || place.is_some_and(kept);
         self.finish(id, Ending::Dismissed { cool_down_ms, elsewhere_helps });
     }
 
@@ -717,9 +718,8 @@
 
     /// Work that was told to stop while the cores stood still is told again.
     fn stop_spent(&mut self) {
-        for id in self.ids_of(|i| matches!(i.state, State::Spent { stop: true, .. })) {
-            self.change(id, self.hand.invocations[&id].state);
-        }
+        let spent = self.ids_of(|i| matches!(i.state, State::Spent { stop: true, .. }));
+        spent.into_iter().for_each(|id| self.change(id, self.hand.invocations[&id].state));
     }
 
     fn advise(&mut self) {
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -336,6 +336,17 @@
     assert!(matches!(last(&outcome), State::Calling { .. }));
 }
 
+#[test]
+fn calls_that_differ_by_themselves_keep_their_room_and_a_slower_mean_takes_it() {
+    let mut backend = started(StartFacts { call_share: Some(12.0), ..facts() });
+    for took_ms in [1.0, 20.0, 150.0, 40.0].repeat(40) {
+        backend.learn_call(took_ms, CallEnd::Ok);
+    }
+    assert!(backend.calls_most > 0.9 * backend.call_share);
+    (0..60).for_each(|_| backend.learn_call(400.0, CallEnd::Ok));
+    assert!(backend.calls_most < 0.2 * backend.call_share);
+}
+
 #[test]
 fn a_share_under_one_call_is_kept_by_rests() {
     let mut backend = started(StartFacts { call_share: Some(0.5), ..facts() });
