Server: due times come first, slow readers end at once, launches in doubt are settled; owner split

The module's due times could starve behind a full queue; a peer that never reads kept its bytes until the stall span; a launch that no link took was waited for without end.

--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -2,7 +2,7 @@
 
 /// Descriptors kept back for the listener, the agent, the ledger, the roster, the standard streams and the
 /// event queue.
-const RESERVED_SOCKETS: usize = 32;
+const RESERVED_SOCKETS: usize = 16;
 /// Memory that one connection may come to hold, for the number of connections that memory allows.
 const CONNECTION_BYTES: usize = 64 << 10;
 
@@ -12,12 +12,15 @@
     pub connections: usize,
     /// Invocations open on one connection.
     pub open_each: usize,
-    /// A frame, a result and a reply of the ledger.
+    /// A frame of a sidecar and the body in it; what comes with a line of the agent or the ledger.
     pub frame_bytes: usize,
+    pub invocation_bytes: usize,
     pub body_bytes: usize,
     /// Bytes that one read takes.
     pub read_bytes: usize,
-    /// All that open invocations hold, all that waits to be written, and the same for one connection.
+    /// What an open invocation takes beside its frame; all that they hold, all that waits to be written, and
+    /// the same for one connection.
+    pub open_overhead: usize,
     pub open_bytes: usize,
     pub unwritten_bytes: usize,
     pub unwritten_each: usize,
@@ -39,10 +42,14 @@
     pub gauges_ms: f64,
     /// Entries of the memory of repeats outlive their span by this, for what is read late.
     pub read_late_ms: f64,
+    /// A connection that was told to close and does not is ended after this.
+    pub closing_ms: f64,
     /// Accepting rests so long when descriptors are short.
     pub accept_rest_ms: u64,
     /// Before it is killed, the program ends this much earlier by itself.
     pub exit_early_ms: f64,
+    /// Connections are refused from this long before the kill at the latest.
+    pub refuse_early_ms: f64,
     /// Lines a second in the log about what peers do wrong.
     pub complaints_a_second: u32,
 }
@@ -54,8 +61,10 @@
             connections: sockets.saturating_sub(RESERVED_SOCKETS).min(memory / CONNECTION_BYTES).max(4),
             open_each: 32,
             frame_bytes: 8 << 10,
+            invocation_bytes: 2 << 10,
             body_bytes: 8 << 10,
             read_bytes: 4 << 10,
+            open_overhead: 1 << 10,
             open_bytes: memory * 2 / 5,
             unwritten_bytes: memory / 5,
             unwritten_each: 256 << 10,
@@ -70,8 +79,10 @@
             beat_ms: 700,
             gauges_ms: 25.0,
             read_late_ms: 10_000.0,
+            closing_ms: 1000.0,
             accept_rest_ms: 5,
             exit_early_ms: 20.0,
+            refuse_early_ms: 200.0,
             complaints_a_second: 10,
         }
     }
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -51,10 +51,10 @@
     executor.spawn(told).detach();
 
     tracing::info!("{} listens on {}", launch.name, launch.listen);
-    let mut owner = Owner::new(launch.start, launch.stop_ms, limits.clone(), inbox, calls, leaving);
+    let (start, stop_ms) = (launch.start, launch.stop_ms);
+    let mut owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
     let run = async {
         owner.run().await;
-        drop(accepting);
         // What was answered last is still on its way out of the connections' own tasks.
         drop(owner);
         let written = async {
--- /dev/null
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -0,0 +1,180 @@
+//! The owner's side of the agent and the ledger: commands and calls to them, and what they answer.
+
+use async_channel::Sender;
+use plovershelf::interface::{CallEnd, Gauges, Repeats, RunEnd, State, Wake};
+use plovershelf::logic::Backend;
+use plovershelf_codec::agent::{self as commands, RunOver};
+use plovershelf_codec::{name_of, TryId};
+
+use super::{Due, Owner, NEVER};
+use crate::agent::Said;
+use crate::ledger::Order;
+
+impl Owner {
+    pub(super) fn hear(&mut self, said: Said) {
+        match said {
+            Said::Up { fresh, up_for_ms, orders } => self.agent_up(fresh, up_for_ms, orders),
+            Said::Down => self.agent = None,
+            Said::RunOver { id, over, result } => self.run_over(id, over, result),
+            Said::WantsCall { id, call } => {
+                let Some(&id) = self.by_try.get(&id) else { return };
+                if let Some(open) = self.open.get_mut(&id) {
+                    (open.heard_of, open.doubtful) = (true, false);
+                    open.call = call;
+                }
+                self.decide(|backend, now| backend.wants_call(now, id));
+            }
+            Said::Sampled { tag, gauges } => {
+                if let Some(read) = self.samples.remove(&tag) {
+                    self.commands_read = self.commands_read.max(read);
+                }
+                if self.gauges_for == Some(tag) {
+                    self.gauges_for = None;
+                    let gauges = self.start.gauges(gauges);
+                    self.wake(Wake::Periodic, gauges);
+                }
+            }
+            Said::Refused { command, id } => {
+                self.complain(&format!("the agent refused {command:?} for {}", name_of(&id)));
+                if command == "launch" {
+                    self.run_over(id, RunOver::Nothing, Vec::new());
+                }
+            }
+        }
+    }
+
+    pub(super) fn agent_up(&mut self, fresh: bool, up_for_ms: f64, orders: Sender<Vec<u8>>) {
+        self.agent = Some(orders);
+        self.samples.clear();
+        if self.backend.is_none() {
+            let mut facts = self.start.facts.clone();
+            facts.just_started = fresh;
+            let (backend, outcome) = Backend::start(self.now - up_for_ms, facts);
+            self.backend = Some(backend);
+            tracing::info!("the agent is up, {}", if fresh { "fresh" } else { "warm" });
+            self.carry_out(outcome);
+            return;
+        }
+        // Launches that the last link may have lost. For a run that is under way a second launch does nothing,
+        // but one that just came to its end would run again: work that may run once only stays in doubt.
+        let (mut again, mut late) = (Vec::new(), Vec::new());
+        for (id, open) in &mut self.open {
+            let lost = open.launched == Some(NEVER);
+            let unsure = open.launched.is_some_and(|at| at > self.commands_read) && !open.heard_of;
+            let repeats = self.start.facts.offerings[open.offering].repeats;
+            if lost || (unsure && repeats == Repeats::Rerunnable) {
+                again.push(*id);
+            }
+            open.doubtful = unsure;
+            if !open.answered {
+                late.extend(open.undelivered.take().map(|reply| (*id, reply)));
+            }
+        }
+        tracing::info!("the agent's link is back, {} launches are written anew", again.len());
+        again.into_iter().for_each(|id| self.launch(id));
+        late.into_iter().for_each(|(id, reply)| self.deliver(id, reply));
+    }
+
+    /// Writes a command; tells its place in the order, or `None` while there is no link.
+    pub(super) fn command(&mut self, bytes: Vec<u8>) -> Option<u64> {
+        if self.agent.as_ref()?.try_send(bytes).is_err() {
+            // The link is gone or takes nothing: it is dropped, which opens a new one.
+            self.agent = None;
+            return None;
+        }
+        self.commands += 1;
+        Some(self.commands)
+    }
+
+    pub(super) fn command_for(&mut self, id: u32, command: impl FnOnce(&TryId) -> Vec<u8>) {
+        if let Some(bytes) = self.open.get(&id).map(|open| command(&open.id)) {
+            self.command(bytes);
+        }
+    }
+
+    pub(super) fn launch(&mut self, id: u32) {
+        let Some(open) = self.open.get(&id) else { return };
+        let offering = &self.start.offerings[open.offering];
+        let bytes = commands::launch(&open.id, offering, &open.frame[open.body.clone()]);
+        let place = self.command(bytes).unwrap_or(NEVER);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.launched = Some(place);
+        open.doubtful = false;
+        if let Some(mark) = &open.mark {
+            self.remembered.ran(mark, id);
+        }
+    }
+
+    pub(super) fn deliver(&mut self, id: u32, reply: Vec<u8>) {
+        let Some(open) = self.open.get(&id) else { return };
+        if self.command(commands::deliver(&open.id, &reply)).is_none() {
+            if let Some(open) = self.open.get_mut(&id) {
+                open.undelivered = Some(reply);
+            }
+        }
+    }
+
+    pub(super) fn run_over(&mut self, id: TryId, over: RunOver, result: Vec<u8>) {
+        let Some(&id) = self.by_try.get(&id) else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let end = match over {
+            RunOver::Success => RunEnd::Ok,
+            RunOver::Failure => RunEnd::Error,
+            RunOver::Interrupted => RunEnd::Stopped,
+            RunOver::Nothing => RunEnd::NeverBegan,
+        };
+        open.result = result;
+        if let Some(mark) = open.mark.clone() {
+            let kept = (end == RunEnd::Ok).then(|| open.result.clone());
+            for repeat in self.remembered.ended(&mark, id, kept.as_deref(), self.now) {
+                self.end_repeat(repeat, kept.as_deref());
+            }
+        }
+        self.decide(|backend, now| backend.run_ended(now, id, end));
+    }
+
+    pub(super) fn ask_gauges(&mut self) {
+        self.close_idle();
+        self.remembered.sweep(self.now);
+        let tag = self.due_count + 1;
+        match self.command(commands::sample(tag)) {
+            Some(place) => {
+                self.samples.insert(tag, place);
+                self.gauges_for = Some(tag);
+                self.at(self.limits.gauges_ms, Due::GaugesLate(tag));
+            }
+            None => self.wake(Wake::Periodic, Gauges::default()),
+        }
+    }
+
+    pub(super) fn wake(&mut self, wake: Wake, gauges: Gauges) {
+        self.decide(|backend, now| backend.woke(now, wake, gauges));
+    }
+
+    pub(super) fn place_call(&mut self, id: u32, within_ms: f64) {
+        let Some(open) = self.open.get(&id) else { return };
+        let order = Order::Call { id: open.id, within_ms, body: open.call.clone() };
+        if self.ledger.try_send(order).is_err() {
+            let id = open.id;
+            self.complain("the queue to the ledger is full");
+            self.call_over(id, CallEnd::ProvenNotRun, Vec::new());
+        }
+    }
+
+    /// Gives a call up that nobody waits for any more.
+    pub(super) fn drop_call(&mut self, id: u32, from: State) {
+        if let (State::Calling { .. }, Some(open)) = (from, self.open.get(&id)) {
+            if self.ledger.try_send(Order::GiveUp { id: open.id }).is_err() {
+                self.complain("the queue to the ledger is full");
+            }
+        }
+    }
+
+    pub(super) fn call_over(&mut self, id: TryId, end: CallEnd, reply: Vec<u8>) {
+        let Some(&id) = self.by_try.get(&id) else { return };
+        if end == CallEnd::Ok && self.open.get(&id).is_some_and(|open| !open.answered) {
+            self.deliver(id, reply);
+        }
+        self.decide(|backend, now| backend.call_ended(now, id, end));
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -0,0 +1,261 @@
+//! The owner's side of the connections of sidecars: what they send, what is sent to them, when they end.
+
+use std::ops::Range;
+
+use plovershelf::interface::{Arrival, Repeats};
+use plovershelf_codec::front::{self, Complaint, Fault, Message, Words};
+use plovershelf_codec::TryId;
+
+use super::{Open, Owner};
+use crate::repeats::Mark;
+use crate::sidecars::Unwritten;
+
+impl Owner {
+    pub(super) fn read(&mut self, connection: u64, frame: Vec<u8>) {
+        let Some(peer) = self.connections.get_mut(&connection).filter(|peer| !peer.deaf) else { return };
+        let decoded = front::decode(&frame);
+        if decoded.is_ok() {
+            peer.idle_since = self.now;
+        }
+        match decoded {
+            Ok(Message::Dispatch { seqid, invocation }) => {
+                let read = self.arrival(connection, &invocation);
+                let (id, body) = (invocation.id, invocation.body);
+                let from = body.as_ptr() as usize - frame.as_ptr() as usize;
+                let body = from..from + body.len();
+                if self.connections[&connection].open.contains_key(&seqid) {
+                    // An exception would be a second answer to that number.
+                    self.complain(&format!("connection {connection}: sequence number {seqid} is in use"));
+                    self.deafen(connection);
+                    return;
+                }
+                match read {
+                    Ok(read) => self.take_in(connection, seqid, id, frame, body, read),
+                    Err(what) => self.refuse(connection, seqid, "dispatch", Complaint::Internal, &what),
+                }
+            }
+            Ok(Message::Cancel { seqid }) => {
+                if let Some(id) = peer.open.get(&seqid).copied() {
+                    self.gone(id);
+                }
+            }
+            Ok(Message::Alive { seqid }) => {
+                let words = Words { advice: self.advice, ..Words::default() };
+                self.send(connection, front::health(seqid, self.fit, &words));
+            }
+            Ok(Message::Other) => self.complain("a message that is not known"),
+            Err(Fault::Refused { seqid, method, complaint, what }) => {
+                self.refuse(connection, seqid, &method, complaint, &what)
+            }
+            Err(Fault::Garbled(what)) => {
+                self.complain(&format!("connection {connection}: {what}"));
+                self.deafen(connection);
+            }
+        }
+    }
+
+    /// An invocation as the module needs it, with the mark by which repeats of it are known.
+    pub(super) fn arrival(
+        &self,
+        connection: u64,
+        read: &front::Invocation<'_>,
+    ) -> Result<(Arrival, Option<Mark>), String> {
+        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let offering = place(&self.start.offerings, read.offering).ok_or("no such class")?;
+        let tenant = match place(&self.start.tenants, read.tenant) {
+            Some(tenant) => tenant,
+            None if self.start.tenants.is_empty() => 0,
+            None => return Err("no such tenant".into()),
+        };
+        if self.connections[&connection].open.len() >= self.limits.open_each {
+            return Err("too many are open on this connection".into());
+        }
+        if read.body.len() > self.limits.invocation_bytes {
+            return Err("the body is too long".into());
+        }
+        if self.by_try.contains_key(&read.id) {
+            return Err("the id is in use".into());
+        }
+        if self.backend.is_none() {
+            return Err("not started yet".into());
+        }
+        let came = read.came_ms.min(self.now);
+        let terms = &self.start.facts.offerings[offering];
+        let mark = Mark::of(offering, terms.repeats, read.ticket, read.subject);
+        let share_ms = self.start.facts.share_answers_ms;
+        let ran_counts = terms.repeats == Repeats::Ticketed;
+        let original = mark.as_ref().and_then(|m| self.remembered.original(m, came, ran_counts, share_ms));
+        let arrival = Arrival {
+            id: 0,
+            offering,
+            tenant,
+            key: read.subject,
+            gives_up_at: read.waits_ms.map(|waits| came + waits.min(terms.hard_limit_ms.max(1.0))),
+            work_hint_ms: read.work_hint_ms,
+            footprint_kb: read.footprint_kb,
+            marked_repeat: read.marked_repeat,
+            writes: read.subject == 0,
+            unread_ms: self.now - came,
+            original,
+        };
+        Ok((arrival, mark))
+    }
+
+    pub(super) fn take_in(
+        &mut self,
+        connection: u64,
+        seqid: i32,
+        id: TryId,
+        frame: Vec<u8>,
+        body: Range<usize>,
+        (mut arrival, mark): (Arrival, Option<Mark>),
+    ) {
+        let bytes = frame.len() + self.limits.open_overhead;
+        if self.open_bytes + bytes > self.limits.open_bytes {
+            self.complain("more is open than memory allows");
+            self.send(connection, front::dismissed(seqid, &Words::default()));
+            return;
+        }
+        while self.open.contains_key(&self.next_id) {
+            self.next_id = self.next_id.wrapping_add(1).max(1);
+        }
+        arrival.id = self.next_id;
+        self.next_id = self.next_id.wrapping_add(1).max(1);
+        self.open_bytes += bytes;
+        self.by_try.insert(id, arrival.id);
+        if let Some(peer) = self.connections.get_mut(&connection) {
+            peer.open.insert(seqid, arrival.id);
+        }
+        let open = Open {
+            id,
+            connection,
+            seqid,
+            offering: arrival.offering,
+            frame,
+            body,
+            answered: false,
+            gone: false,
+            launched: None,
+            heard_of: false,
+            doubtful: false,
+            call: Vec::new(),
+            undelivered: None,
+            result: Vec::new(),
+            mark,
+        };
+        self.open.insert(arrival.id, open);
+        self.decide(|backend, now| backend.arrived(now, arrival));
+    }
+
+    /// The caller takes no answer any more.
+    pub(super) fn gone(&mut self, id: u32) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.gone = true;
+        self.close_answer(id);
+        self.decide(|backend, now| backend.caller_gone(now, id));
+    }
+
+    /// A connection has ended: whatever is open on it has nobody left who waits.
+    pub(super) fn lost(&mut self, connection: u64) {
+        let Some(peer) = self.connections.remove(&connection) else { return };
+        peer.outbox.abort();
+        for id in peer.open.into_values() {
+            self.gone(id);
+        }
+    }
+
+    /// Nothing more is read from a connection; what is open on it is still answered.
+    pub(super) fn deafen(&mut self, connection: u64) {
+        let Some(peer) = self.connections.get_mut(&connection) else { return };
+        peer.deaf = true;
+        let ends = peer.open.is_empty();
+        self.tell_closing(connection);
+        if ends {
+            self.connections.remove(&connection);
+        }
+    }
+
+    pub(super) fn tell_closing(&mut self, connection: u64) {
+        let Some(peer) = self.connections.get_mut(&connection) else { return };
+        if peer.closing_since.is_none() {
+            peer.closing_since = Some(self.now);
+            self.send(connection, front::closing());
+        }
+    }
+
+    pub(super) fn tell_all_closing(&mut self) {
+        let all: Vec<u64> = self.connections.keys().copied().collect();
+        all.into_iter().for_each(|connection| self.tell_closing(connection));
+    }
+
+    /// Where too much waits to be written in all, the connection that most waits for has to go.
+    pub(super) fn send(&mut self, connection: u64, mut frame: Vec<u8>) {
+        while let Some(peer) = self.connections.get(&connection) {
+            let slowest = match peer.outbox.push(frame) {
+                Ok(()) => return,
+                Err(Unwritten::Here) => {
+                    frame = Vec::new();
+                    connection
+                }
+                Err(Unwritten::InAll(back)) => {
+                    frame = back;
+                    let most = self.connections.iter().max_by_key(|(_, peer)| peer.outbox.unwritten());
+                    most.map_or(connection, |(number, _)| *number)
+                }
+            };
+            self.complain(&format!("connection {slowest}: its peer reads too slowly"));
+            self.lost(slowest);
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        connection: u64,
+        seqid: i32,
+        method: &str,
+        complaint: Complaint,
+        what: &str,
+    ) {
+        self.complain(&format!("connection {connection}, {method:?}: {what}"));
+        self.send(connection, front::complaint(seqid, method, complaint, what));
+    }
+
+    /// A line about what a peer does wrong, as many a second as the limits allow.
+    pub(super) fn complain(&mut self, what: &str) {
+        let second = (self.now / 1000.0) as u64;
+        if self.complaints.0 != second {
+            let held_back = self.complaints.1.saturating_sub(self.limits.complaints_a_second);
+            if held_back > 0 {
+                tracing::warn!("{held_back} more of the like");
+            }
+            self.complaints = (second, 0);
+        }
+        self.complaints.1 += 1;
+        if self.complaints.1 <= self.limits.complaints_a_second {
+            tracing::warn!("{what}");
+        }
+    }
+
+    /// An idle connection makes room: the one that has been idle for longest.
+    pub(super) fn crowded(&mut self, why: &str) {
+        self.complain(why);
+        let idle = self.connections.iter().filter(|(_, c)| c.open.is_empty());
+        let longest = idle.min_by(|(_, a), (_, b)| a.idle_since.total_cmp(&b.idle_since));
+        if let Some(connection) = longest.map(|(number, _)| *number) {
+            self.tell_closing(connection);
+            self.connections.remove(&connection);
+        }
+    }
+
+    /// Connections that were not used for the module's idle span are told to close, and ended if they stay.
+    pub(super) fn close_idle(&mut self) {
+        let (told_before, idle_before) = (self.now - self.limits.closing_ms, self.now - self.idle_ms);
+        let idle = || self.connections.iter().filter(|(_, c)| c.open.is_empty());
+        let stays = idle().filter(|(_, c)| c.closing_since.is_some_and(|since| since <= told_before));
+        let stays: Vec<u64> = stays.map(|(number, _)| *number).collect();
+        let long = idle().filter(|(_, c)| c.idle_since <= idle_before);
+        let long: Vec<u64> = long.map(|(number, _)| *number).collect();
+        long.into_iter().for_each(|connection| self.tell_closing(connection));
+        stays.into_iter().for_each(|connection| drop(self.connections.remove(&connection)));
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -0,0 +1,134 @@
+//! Carries out what the module says of an invocation: its run, its calls, its answer, its end.
+
+use plovershelf::interface::{Change, Ending, Outcome, RunEnd, State, Wake};
+use plovershelf_codec::agent as commands;
+use plovershelf_codec::front::{self, Words};
+
+use super::{Connection, Due, Open, Owner, NEVER};
+use crate::repeats::Repeated;
+
+impl Owner {
+    pub(super) fn carry_out(&mut self, outcome: Outcome) {
+        for change in outcome.changes {
+            self.carry_out_change(change);
+        }
+        let words = outcome.words;
+        self.advice = words.advice.or(self.advice);
+        self.fit = words.fit.unwrap_or(self.fit);
+        self.idle_ms = words.idle_ms.unwrap_or(self.idle_ms);
+        for (wait_ms, wake) in words.wakes {
+            self.at(wait_ms, if wake == Wake::Periodic { Due::Periodic } else { Due::Wake });
+        }
+        for note in words.notes {
+            tracing::info!("{note}");
+        }
+    }
+
+    pub(super) fn carry_out_change(&mut self, change: Change) {
+        let id = change.id;
+        if let (Some(span), Some(open)) = (change.remember_ms, self.open.get(&id)) {
+            if let Some(mark) = &open.mark {
+                self.remembered.keep(mark.clone(), id, self.now + span);
+            }
+        }
+        match (change.from, change.to) {
+            (Some(State::Held), State::Running) => self.launch(id),
+            (Some(State::AtCall), State::Running) => self.command_for(id, commands::forgo),
+            (_, State::Calling { within_ms }) => self.place_call(id, within_ms),
+            (_, State::Joined) => self.join(id),
+            (Some(from), State::Spent { ending, stop }) => {
+                self.drop_call(id, from);
+                if !matches!(from, State::Spent { .. }) {
+                    self.answer(id, ending);
+                }
+                if stop {
+                    self.command_for(id, commands::freeze);
+                }
+                self.settle_doubt(id);
+            }
+            (Some(from), State::Ended(ending)) => {
+                self.drop_call(id, from);
+                if !matches!(from, State::Spent { .. }) {
+                    self.answer(id, ending);
+                }
+                self.forget(id);
+            }
+            _ => {}
+        }
+    }
+
+    /// Work that is over for its caller and may never have reached the agent is not waited for.
+    pub(super) fn settle_doubt(&mut self, id: u32) {
+        let unheard = |open: &&Open| open.doubtful || open.launched == Some(NEVER);
+        if self.open.get(&id).filter(unheard).is_some() {
+            self.ended.push_back((id, RunEnd::NeverBegan));
+        }
+    }
+
+    pub(super) fn answer(&mut self, id: u32, ending: Ending) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if open.answered {
+            return;
+        }
+        let (connection, seqid) = (open.connection, open.seqid);
+        let mut words = Words { advice: self.advice, ..Words::default() };
+        let frame = match ending {
+            Ending::Succeeded => front::succeeded(seqid, &open.result, &words),
+            Ending::Dismissed { cool_down_ms, elsewhere_helps } => {
+                words.cool_down_ms = Some(cool_down_ms).filter(|span| *span > 0.0);
+                words.last = !elsewhere_helps;
+                front::dismissed(seqid, &words)
+            }
+            // A run can end because its caller has gone before this side was told; an answer does no harm.
+            Ending::Scrapped | Ending::RunFailed | Ending::CallerGone => front::scrapped(seqid, &words),
+        };
+        self.close_answer(id);
+        self.send(connection, frame);
+        let ends = |peer: &Connection| peer.deaf && peer.open.is_empty();
+        if self.connections.get(&connection).is_some_and(ends) {
+            self.connections.remove(&connection);
+        }
+    }
+
+    /// The caller is owed nothing any more.
+    pub(super) fn close_answer(&mut self, id: u32) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.answered = true;
+        if let Some(peer) = self.connections.get_mut(&open.connection) {
+            if peer.open.get(&open.seqid) == Some(&id) {
+                peer.open.remove(&open.seqid);
+                peer.idle_since = self.now;
+            }
+        }
+    }
+
+    /// Nothing of the invocation is left here or below.
+    pub(super) fn forget(&mut self, id: u32) {
+        let Some(open) = self.open.remove(&id) else { return };
+        self.open_bytes -= open.frame.len() + self.limits.open_overhead;
+        self.by_try.remove(&open.id);
+        if let Some(mark) = &open.mark {
+            for repeat in self.remembered.ended(mark, id, None, self.now) {
+                self.end_repeat(repeat, None);
+            }
+        }
+    }
+
+    /// What a repeat repeats has come to its end; the module is told in the same turn.
+    pub(super) fn end_repeat(&mut self, repeat: u32, result: Option<&[u8]>) {
+        if let Some(open) = self.open.get_mut(&repeat) {
+            open.result = result.unwrap_or_default().to_vec();
+            self.ended.push_back((repeat, if result.is_some() { RunEnd::Ok } else { RunEnd::Error }));
+        }
+    }
+
+    pub(super) fn join(&mut self, id: u32) {
+        let mark = self.open.get(&id).and_then(|open| open.mark.clone());
+        let result = match mark.as_ref().map(|mark| self.remembered.join(mark, id)) {
+            Some(Repeated::Waits) => return,
+            Some(Repeated::Has(result)) => Some(result.to_vec()),
+            Some(Repeated::HasNone) | None => None,
+        };
+        self.end_repeat(id, result.as_deref());
+    }
+}
--- a/crates/plovershelf-server/src/sidecars.rs
+++ b/crates/plovershelf-server/src/sidecars.rs
@@ -22,23 +22,62 @@
     unwritten_all: Rc<Cell<usize>>,
     most: usize,
     most_all: usize,
+    /// To end the connection with what is unwritten.
+    stream: Option<Rc<Async<TcpStream>>>,
+}
+
+/// Why a frame is not kept for a peer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Unwritten {
+    /// Its own connection has too much waiting, or is gone.
+    Here,
+    /// All connections together have; the frame comes back.
+    InAll(Vec<u8>),
 }
 
 impl Outbox {
-    /// False when the peer reads too slowly for more to be kept for it.
-    pub fn push(&self, frame: Vec<u8>) -> bool {
+    pub fn new(
+        stream: Option<Rc<Async<TcpStream>>>,
+        unwritten_all: Rc<Cell<usize>>,
+        limits: &Limits,
+    ) -> (Self, Receiver<Vec<u8>>) {
+        let (frames, taken) = async_channel::unbounded();
+        let (most, most_all) = (limits.unwritten_each, limits.unwritten_bytes);
+        (Outbox { frames, unwritten: Rc::default(), unwritten_all, most, most_all, stream }, taken)
+    }
+
+    pub fn push(&self, frame: Vec<u8>) -> Result<(), Unwritten> {
         let length = frame.len();
-        let fits = self.unwritten.get() + length <= self.most
-            && self.unwritten_all.get() + length <= self.most_all
-            && self.frames.try_send(frame).is_ok();
-        if fits {
-            self.unwritten.set(self.unwritten.get() + length);
-            self.unwritten_all.set(self.unwritten_all.get() + length);
+        if self.unwritten_all.get() + length > self.most_all {
+            return Err(Unwritten::InAll(frame));
+        }
+        if self.unwritten.get() + length > self.most || self.frames.try_send(frame).is_err() {
+            return Err(Unwritten::Here);
+        }
+        self.unwritten.set(self.unwritten.get() + length);
+        self.unwritten_all.set(self.unwritten_all.get() + length);
+        Ok(())
+    }
+
+    pub fn unwritten(&self) -> usize {
+        self.unwritten.get()
+    }
+
+    /// Ends the connection at once; what is unwritten is not counted any longer.
+    pub fn abort(self) {
+        written(&self.unwritten, &self.unwritten_all, usize::MAX);
+        if let Some(stream) = self.stream {
+            let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
         }
-        fits
     }
 }
 
+fn written(unwritten: &Cell<usize>, all: &Cell<usize>, bytes: usize) {
+    let bytes = bytes.min(unwritten.get());
+    unwritten.set(unwritten.get() - bytes);
+    all.set(all.get() - bytes);
+}
+
 /// Accepts until the listener's owner drops the task. `slots` is held by each connection: its count tells
 /// how many there are.
 pub async fn accept(
@@ -51,7 +90,8 @@
     let unwritten_all = Rc::new(Cell::new(0));
     for number in 0.. {
         while Rc::strong_count(&slots) > limits.connections {
-            if inbox.send(Event::Crowded).await.is_err() {
+            let why = format!("{} connections are open", limits.connections);
+            if inbox.send(Event::Crowded { why }).await.is_err() {
                 return;
             }
             Timer::after(Duration::from_millis(limits.accept_rest_ms)).await;
@@ -60,22 +100,14 @@
             match listener.accept().await {
                 Ok((stream, _)) => break stream,
                 Err(error) => {
-                    tracing::warn!("accepting: {error}");
-                    let _ = inbox.send(Event::Crowded).await;
+                    let _ = inbox.send(Event::Crowded { why: format!("accepting: {error}") }).await;
                     Timer::after(Duration::from_millis(limits.accept_rest_ms)).await;
                 }
             }
         };
         let _ = stream.get_ref().set_nodelay(true);
         let stream = Rc::new(stream);
-        let (sender, frames) = async_channel::unbounded();
-        let outbox = Outbox {
-            frames: sender,
-            unwritten: Rc::default(),
-            unwritten_all: unwritten_all.clone(),
-            most: limits.unwritten_each,
-            most_all: limits.unwritten_bytes,
-        };
+        let (outbox, frames) = Outbox::new(Some(stream.clone()), unwritten_all.clone(), &limits);
         let (unwritten, all) = (outbox.unwritten.clone(), unwritten_all.clone());
         if inbox.send(Event::Opened { connection: number, outbox }).await.is_err() {
             return;
@@ -84,7 +116,7 @@
         let write = async move {
             write_frames(&writing, frames, &unwritten, &all, stall_ms).await;
             let _ = writing.get_ref().shutdown(std::net::Shutdown::Both);
-            all.set(all.get() - unwritten.get());
+            written(&unwritten, &all, usize::MAX);
             drop(held);
         };
         executor.spawn(write).detach();
@@ -144,7 +176,6 @@
         if future::or(stream.write_all(&bytes), stalled).await.is_err() {
             return;
         }
-        unwritten.set(unwritten.get() - bytes.len());
-        all.set(all.get() - bytes.len());
+        written(unwritten, all, bytes.len());
     }
 }
