--- a/crates/plovershelf-codec/src/front.rs
+++ b/crates/plovershelf-codec/src/front.rs
@@ -388,3 +388,6 @@
 pub fn closing() -> Vec<u8> {
     Output::message(ONEWAY, "closing", 0).finish(1)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/plovershelf-codec/src/front/tests.rs
@@ -0,0 +1,199 @@
+//! Held against the `thrift` crate, which knows the protocol from elsewhere.
+
+use super::*;
+use thrift::protocol::{
+    TBinaryInputProtocol, TBinaryOutputProtocol, TFieldIdentifier, TInputProtocol, TMapIdentifier,
+    TMessageIdentifier, TMessageType, TOutputProtocol, TStructIdentifier, TType,
+};
+
+const FIELDS: [(&str, &str); 8] = [
+    ("c", "checkout"),
+    ("i", "9b1f03aa5c7e2d41"),
+    ("s", "1764576000123"),
+    ("f", "4"),
+    ("t", "acme"),
+    ("d", "480"),
+    ("m", "24.5"),
+    ("p", "0.6250"),
+];
+
+type Out<'a> = TBinaryOutputProtocol<&'a mut Vec<u8>>;
+
+fn message(
+    method: &str,
+    kind: TMessageType,
+    arguments: impl Fn(&mut Out<'_>) -> thrift::Result<()>,
+) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut out = TBinaryOutputProtocol::new(&mut bytes, true);
+    out.write_message_begin(&TMessageIdentifier::new(method, kind, 7)).unwrap();
+    out.write_struct_begin(&TStructIdentifier::new("args")).unwrap();
+    arguments(&mut out).unwrap();
+    out.write_field_stop().unwrap();
+    bytes
+}
+
+fn dispatch_with(fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    message("dispatch", TMessageType::Call, |out| {
+        out.write_field_begin(&TFieldIdentifier::new("unheard", TType::List, 9))?;
+        out.write_list_begin(&thrift::protocol::TListIdentifier::new(TType::I64, 2))?;
+        out.write_i64(1)?;
+        out.write_i64(2)?;
+        out.write_field_begin(&TFieldIdentifier::new("fields", TType::Map, 1))?;
+        out.write_map_begin(&TMapIdentifier::new(TType::String, TType::String, fields.len() as i32))?;
+        for (name, value) in fields {
+            out.write_string(name)?;
+            out.write_string(value)?;
+        }
+        out.write_field_begin(&TFieldIdentifier::new("body", TType::String, 2))?;
+        out.write_bytes(body)
+    })
+}
+
+fn with(name: &'static str, value: &'static str) -> Vec<(&'static str, &'static str)> {
+    let mut fields = FIELDS.to_vec();
+    fields.retain(|(known, _)| *known != name);
+    fields.push((name, value));
+    fields
+}
+
+#[test]
+fn an_invocation_written_by_another_encoder_is_read_whole() {
+    let fields = [&with("o", "7f3a9c21e0b4d655")[..], &[("k", "mark"), ("r", "1"), ("new", "x")]].concat();
+    let frame = dispatch_with(&fields, b"\0any\r\nbytes\xff");
+    let Ok(Message::Dispatch { seqid: 7, invocation: read }) = decode(&frame) else { panic!() };
+    assert_eq!((read.offering, read.tenant, &read.id), ("checkout", "acme", b"9b1f03aa5c7e2d41"));
+    assert_eq!((read.came_ms, read.waits_ms, read.footprint_kb), (1764576000123.0, Some(480.0), 24.5));
+    assert_eq!((read.subject, read.ticket, read.marked_repeat), (0x7f3a9c21e0b4d655, Some("mark"), true));
+    assert_eq!(read.body, b"\0any\r\nbytes\xff");
+}
+
+#[test]
+fn what_is_missing_or_ill_formed_is_named_to_the_caller() {
+    for name in ["c", "i", "s", "m", "p"] {
+        let fields: Vec<_> = FIELDS.into_iter().filter(|(known, _)| *known != name).collect();
+        let frame = dispatch_with(&fields, b"");
+        let Err(Fault::Refused { seqid: 7, what, .. }) = decode(&frame) else { panic!("{name}") };
+        assert!(what.contains(name), "{what}");
+    }
+    let bad =
+        [("i", "9b1f"), ("i", "9b1f03aa5c7e2d4g"), ("s", "soon"), ("d", "-1"), ("d", "NaN"), ("m", "0")];
+    for (name, value) in bad.into_iter().chain([("m", "2000"), ("p", "1"), ("p", "inf"), ("o", "x")]) {
+        let frame = dispatch_with(&with(name, value), b"");
+        assert!(matches!(decode(&frame), Err(Fault::Refused { seqid: 7, .. })), "{name} {value}");
+    }
+}
+
+#[test]
+fn no_cut_and_no_flipped_byte_does_worse_than_a_fault() {
+    let frame = dispatch_with(&FIELDS, b"body");
+    for end in 0..frame.len() {
+        assert!(decode(&frame[..end]).is_err(), "{end}");
+    }
+    for place in 0..frame.len() {
+        for byte in [0x00, 0x7f, 0x80, 0xff] {
+            let mut other = frame.clone();
+            other[place] = byte;
+            let _ = decode(&other);
+        }
+    }
+    let deep = message("alive", TMessageType::Call, |out| {
+        (0..1000).try_for_each(|_| out.write_field_begin(&TFieldIdentifier::new("in", TType::Struct, 1)))
+    });
+    assert!(matches!(decode(&deep), Err(Fault::Refused { complaint: Complaint::Protocol, .. })));
+}
+
+#[test]
+fn lengths_of_frames_are_bounded_before_anything_is_kept() {
+    assert_eq!(frame_length(&[0, 0, 1], 100), Ok(None));
+    assert_eq!(frame_length(&[0, 0, 0, 100, 9], 100), Ok(Some(100)));
+    assert!(frame_length(&[0, 0, 0, 101], 100).is_err());
+    assert!(frame_length(&[0xff, 0, 0, 0], 100).is_err());
+}
+
+#[test]
+fn other_methods_versions_and_kinds_are_told_apart() {
+    let none = |_: &mut Out<'_>| Ok(());
+    assert_eq!(decode(&message("alive", TMessageType::Call, none)), Ok(Message::Alive { seqid: 7 }));
+    assert_eq!(decode(&message("news", TMessageType::OneWay, none)), Ok(Message::Other));
+    let refused = |bytes: &[u8]| match decode(bytes) {
+        Err(Fault::Refused { complaint, .. }) => Some(complaint),
+        _ => None,
+    };
+    assert_eq!(refused(&message("news", TMessageType::Call, none)), Some(Complaint::UnknownMethod));
+    assert_eq!(refused(&message("dispatch", TMessageType::OneWay, none)), Some(Complaint::WrongType));
+    assert!(matches!(decode(&message("alive", TMessageType::Reply, none)), Err(Fault::Garbled(_))));
+    let mut old = message("alive", TMessageType::Call, none);
+    old[1] = 2;
+    assert!(matches!(decode(&old), Err(Fault::Garbled(_))));
+    let cancel = message("cancelRequest", TMessageType::OneWay, |out| {
+        out.write_field_begin(&TFieldIdentifier::new("seqid", TType::I32, 1))?;
+        out.write_i32(3)
+    });
+    assert_eq!(decode(&cancel), Ok(Message::Cancel { seqid: 3 }));
+}
+
+type In<'a> = TBinaryInputProtocol<&'a [u8]>;
+
+/// Opens a reply's result struct and the struct in the field of that number.
+fn opened(frame: &[u8], number: i16) -> (In<'_>, TMessageIdentifier) {
+    assert_eq!(frame_length(frame, 10_000), Ok(Some(frame.len() - 4)));
+    let mut input = TBinaryInputProtocol::new(&frame[4..], true);
+    let head = input.read_message_begin().unwrap();
+    input.read_struct_begin().unwrap();
+    let field = input.read_field_begin().unwrap();
+    assert_eq!((field.id, field.field_type), (Some(number), TType::Struct));
+    input.read_struct_begin().unwrap();
+    (input, head)
+}
+
+fn words_in(input: &mut In<'_>, number: i16) -> Vec<(String, String)> {
+    assert_eq!(input.read_field_begin().unwrap().id, Some(number));
+    let map = input.read_map_begin().unwrap();
+    (0..map.size).map(|_| (input.read_string().unwrap(), input.read_string().unwrap())).collect()
+}
+
+#[test]
+fn answers_are_read_by_another_decoder() {
+    let words = Words { advice: Some(0.625), cool_down_ms: Some(12.3), last: true };
+    let frame = succeeded(41, b"\0result\xff", &words);
+    let (mut input, head) = opened(&frame, 0);
+    assert_eq!(
+        (&head.name[..], head.message_type, head.sequence_number),
+        ("dispatch", TMessageType::Reply, 41)
+    );
+    assert_eq!(input.read_field_begin().unwrap().id, Some(1));
+    assert_eq!(input.read_bytes().unwrap(), b"\0result\xff");
+    words_in(&mut input, 2);
+    assert_eq!(input.read_field_begin().unwrap().id, Some(3));
+    assert!(input.read_bool().unwrap());
+    for _ in 0..2 {
+        assert_eq!(input.read_field_begin().unwrap().field_type, TType::Stop);
+    }
+    let dismissed = dismissed(1, &words);
+    let told = [("v", "0.6250"), ("w", "13"), ("l", "1")].map(|(n, v)| (n.to_string(), v.to_string()));
+    assert_eq!(words_in(&mut opened(&dismissed, 1).0, 1), told);
+    assert_eq!(words_in(&mut opened(&scrapped(1, &Words::default()), 2).0, 1), []);
+    let unfit = health(9, false, &Words::default());
+    let (mut input, head) = opened(&unfit, 0);
+    assert_eq!(head.name, "alive");
+    assert_eq!((input.read_field_begin().unwrap().id, input.read_bytes().unwrap()), (Some(1), vec![]));
+    words_in(&mut input, 2);
+    input.read_field_begin().unwrap();
+    assert!(!input.read_bool().unwrap());
+}
+
+#[test]
+fn complaints_and_the_word_of_closing_are_read_by_another_decoder() {
+    let frame = complaint(5, "dispatch", Complaint::Protocol, "why");
+    let mut input = TBinaryInputProtocol::new(&frame[4..], true);
+    let head = input.read_message_begin().unwrap();
+    assert_eq!((head.message_type, head.sequence_number), (TMessageType::Exception, 5));
+    let read = thrift::Error::read_application_error_from_in_protocol(&mut input).unwrap();
+    assert_eq!((read.message, read.kind), ("why".into(), thrift::ApplicationErrorKind::ProtocolError));
+    let frame = closing();
+    let mut input = TBinaryInputProtocol::new(&frame[4..], true);
+    let head = input.read_message_begin().unwrap();
+    assert_eq!((&head.name[..], head.message_type), ("closing", TMessageType::OneWay));
+    assert_eq!(input.read_field_begin().unwrap().field_type, TType::Stop);
+}
--- a/crates/plovershelf-codec/src/lines.rs
+++ b/crates/plovershelf-codec/src/lines.rs
@@ -44,3 +44,6 @@
 pub(crate) fn measure(word: &[u8]) -> Option<f64> {
     number(word).filter(|value: &f64| value.is_finite() && *value >= 0.0)
 }
+
+#[cfg(test)]
+mod tests;
