--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -42,6 +42,8 @@
     pub gauges_ms: f64,
     /// Entries of the memory of repeats outlive their span by this, for what is read late.
     pub read_late_ms: f64,
+    /// No caller is believed to wait longer for one try.
+    pub longest_wait_ms: f64,
     /// A connection that was told to close and does not is ended after this.
     pub closing_ms: f64,
     /// Accepting rests so long when descriptors are short.
@@ -79,6 +81,7 @@
             beat_ms: 700,
             gauges_ms: 25.0,
             read_late_ms: 10_000.0,
+            longest_wait_ms: 3_600_000.0,
             closing_ms: 1000.0,
             accept_rest_ms: 5,
             exit_early_ms: 20.0,
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -202,8 +202,13 @@
         }
     }
 
+    /// Until the next due time, or a while where there is none near.
+    fn wait_ms(&self) -> f64 {
+        self.due.first().map_or(1000.0, |(at, ..)| (f64::from_bits(*at) - unix_ms()).clamp(0.0, 1000.0))
+    }
+
     async fn wait(&mut self) -> Option<Event> {
-        let wait_ms = self.due.first().map_or(1000.0, |(at, ..)| (f64::from_bits(*at) - unix_ms()).max(0.0));
+        let wait_ms = self.wait_ms();
         let due = async {
             Timer::after(Duration::from_secs_f64(wait_ms / 1000.0)).await;
             None
@@ -306,3 +311,6 @@
         self.decide(|backend, now| backend.told_to_leave(now, now + stop_ms));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -90,7 +90,7 @@
             offering,
             tenant,
             key: read.subject,
-            gives_up_at: read.waits_ms.map(|waits| came + waits.min(terms.hard_limit_ms.max(1.0))),
+            gives_up_at: read.waits_ms.map(|waits| came + waits.min(self.limits.longest_wait_ms)),
             work_hint_ms: read.work_hint_ms,
             footprint_kb: read.footprint_kb,
             marked_repeat: read.marked_repeat,
--- /dev/null
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -0,0 +1,456 @@
+use super::*;
+use crate::agent::Said;
+use crate::sidecars::Outbox;
+use peers::{cancel, dispatch, heard, Heard, SETTINGS};
+use plovershelf_codec::agent::RunOver;
+
+#[path = "../../tests/peers/mod.rs"]
+mod peers;
+
+/// An owner with the far ends of its queues, whose agent is up.
+struct Stage {
+    owner: Owner,
+    commands: Receiver<Vec<u8>>,
+    calls: Receiver<Order>,
+    peers: Vec<Receiver<Vec<u8>>>,
+    unwritten: Rc<Cell<usize>>,
+}
+
+impl Stage {
+    fn new() -> Self {
+        Self::with(Limits::of(64.0, 256))
+    }
+
+    fn with(limits: Limits) -> Self {
+        let start = plovershelf_facts::read(SETTINGS, 7).expect("settings");
+        let (calls, orders) = async_channel::bounded(16);
+        let inbox = async_channel::bounded(1).1;
+        let owner = Owner::new(start, 3000.0, Rc::new(limits), inbox, calls, Rc::default(), None);
+        let commands = async_channel::bounded(1).1;
+        let mut stage = Stage { owner, commands, calls: orders, peers: Vec::new(), unwritten: Rc::default() };
+        stage.link_up();
+        stage
+    }
+
+    fn link_up(&mut self) {
+        let (orders, commands) = async_channel::bounded(1000);
+        self.commands = commands;
+        self.owner.take(Event::Agent(Said::Up { fresh: false, up_for_ms: 0.0, orders }));
+    }
+
+    fn connect(&mut self) -> u64 {
+        let connection = self.peers.len() as u64;
+        let (outbox, frames) = Outbox::new(None, self.unwritten.clone(), &self.owner.limits);
+        self.owner.take(Event::Opened { connection, outbox });
+        self.peers.push(frames);
+        connection
+    }
+
+    fn send(&mut self, connection: u64, frame: Vec<u8>) {
+        self.owner.tick();
+        self.owner.take(Event::Frame { connection, frame });
+        self.owner.settle();
+    }
+
+    fn heard(&mut self, connection: u64) -> Vec<Heard> {
+        let frames = &self.peers[connection as usize];
+        std::iter::from_fn(|| frames.try_recv().ok()).map(|frame| heard(&frame[4..])).collect()
+    }
+
+    fn commands(&mut self) -> Vec<String> {
+        let all = std::iter::from_fn(|| self.commands.try_recv().ok());
+        all.map(|bytes| String::from_utf8(bytes).expect("text").lines().next().unwrap().into()).collect()
+    }
+
+    fn agent(&mut self, said: Said) {
+        self.owner.take(Event::Agent(said));
+        self.owner.settle();
+    }
+
+    fn run_over(&mut self, id: u64, over: RunOver, result: &[u8]) {
+        self.agent(Said::RunOver { id: name(id), over, result: result.to_vec() });
+    }
+
+    fn wants_call(&mut self, id: u64) {
+        self.agent(Said::WantsCall { id: name(id), call: b"ask".to_vec() });
+    }
+
+    fn call_over(&mut self, id: u64, end: CallEnd) {
+        self.owner.take(Event::CallOver { id: name(id), end, reply: b"told".to_vec() });
+        self.owner.settle();
+    }
+
+    /// Lets the module's own time pass.
+    fn pass(&mut self, span_ms: f64) {
+        let until = self.owner.now + span_ms;
+        while self.owner.now < until {
+            self.owner.now = (self.owner.now + 10.0).min(until);
+            while self.owner.take_due() {
+                self.owner.settle();
+            }
+        }
+    }
+}
+
+fn name(id: u64) -> TryId {
+    format!("{id:016x}").into_bytes().try_into().expect("16 digits")
+}
+
+#[test]
+fn a_result_reaches_its_caller_unchanged_and_once() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 5, "plain", &[], b"body"));
+    assert_eq!(stage.commands(), ["launch 0000000000000005 plain 4"]);
+    stage.run_over(5, RunOver::Success, b"\0result");
+    stage.run_over(5, RunOver::Success, b"again");
+    assert_eq!(stage.heard(peer), [Heard::Succeeded(1, b"\0result".to_vec())]);
+    assert!(stage.owner.open.is_empty() && stage.owner.by_try.is_empty() && stage.owner.open_bytes == 0);
+}
+
+#[test]
+fn a_failed_run_and_one_that_ends_unasked_are_answered() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    for (seqid, over) in [(1, RunOver::Failure), (2, RunOver::Interrupted), (3, RunOver::Nothing)] {
+        stage.send(peer, dispatch(seqid, seqid as u64, "plain", &[], b""));
+        stage.run_over(seqid as u64, over, b"");
+        assert_eq!(stage.heard(peer), [Heard::Scrapped(seqid)]);
+    }
+    assert!(stage.owner.open.is_empty());
+}
+
+#[test]
+fn a_cancel_frees_what_was_held_and_one_for_nothing_does_nothing() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 5, "plain", &[], b""));
+    stage.send(peer, cancel(9));
+    stage.commands();
+    stage.send(peer, cancel(1));
+    assert_eq!(stage.commands(), ["freeze 0000000000000005"]);
+    stage.run_over(5, RunOver::Interrupted, b"");
+    stage.send(peer, cancel(1));
+    assert_eq!(stage.heard(peer), []);
+    assert!(stage.owner.open.is_empty());
+}
+
+#[test]
+fn the_end_of_a_connection_frees_all_that_was_open_on_it() {
+    let mut stage = Stage::new();
+    let (peer, other) = (stage.connect(), stage.connect());
+    stage.send(peer, dispatch(1, 5, "plain", &[], b""));
+    stage.send(peer, dispatch(2, 6, "better", &[], b""));
+    stage.send(other, dispatch(1, 7, "better", &[], b""));
+    stage.owner.take(Event::Ended { connection: peer, garbled: None });
+    assert_eq!(stage.commands()[3..], ["freeze 0000000000000005", "freeze 0000000000000006"]);
+    stage.run_over(7, RunOver::Success, b"x");
+    assert_eq!(stage.heard(other), [Heard::Succeeded(1, b"x".to_vec())]);
+}
+
+#[test]
+fn a_sequence_number_in_use_ends_the_connection_after_the_one_answer() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 5, "plain", &[], b""));
+    stage.send(peer, dispatch(1, 6, "plain", &[], b""));
+    assert_eq!(stage.heard(peer), [Heard::Closing]);
+    stage.run_over(5, RunOver::Success, b"x");
+    assert_eq!(stage.heard(peer), [Heard::Succeeded(1, b"x".to_vec())]);
+    assert!(stage.owner.connections.is_empty() && stage.peers[peer as usize].is_closed());
+    assert_eq!(stage.commands().len(), 1);
+}
+
+#[test]
+fn what_no_offering_or_tenant_stands_for_is_refused_before_the_module_hears_of_it() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "unheard", &[], b""));
+    stage.send(peer, dispatch(2, 2, "plain", &[("t", "nobody")], b""));
+    stage.send(peer, dispatch(3, 3, "plain", &[("m", "")], b""));
+    stage.send(peer, dispatch(4, 4, "plain", &[], &[0; 3000]));
+    stage.send(peer, dispatch(5, 5, "plain", &[], b""));
+    stage.send(peer, dispatch(6, 5, "plain", &[], b""));
+    let refused = [1, 2, 3, 4, 6].map(Heard::Complaint);
+    assert_eq!(stage.heard(peer), refused);
+    assert_eq!(stage.commands(), ["launch 0000000000000005 plain 0"]);
+}
+
+#[test]
+fn times_beyond_all_measure_are_bounded() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[("d", "1e300"), ("s", "1e300")], b""));
+    stage.send(peer, dispatch(2, 2, "plain", &[("d", "0"), ("s", "0")], b""));
+    assert_eq!(stage.heard(peer), [Heard::Dismissed(2)]);
+    let last = stage.owner.due.last().expect("a due time").0;
+    assert!(f64::from_bits(last) <= stage.owner.now + stage.owner.limits.longest_wait_ms);
+    assert!(stage.owner.wait_ms() <= 1000.0);
+}
+
+#[test]
+fn more_than_a_connection_may_have_open_is_refused() {
+    let mut stage = Stage::with(Limits { open_each: 2, ..Limits::of(64.0, 256) });
+    let peer = stage.connect();
+    (1..=3).for_each(|seqid| stage.send(peer, dispatch(seqid, seqid as u64, "plain", &[], b"")));
+    assert_eq!(stage.heard(peer), [Heard::Complaint(3)]);
+}
+
+#[test]
+fn what_memory_does_not_allow_is_dismissed_unread() {
+    let mut stage = Stage::with(Limits { open_bytes: 3000, ..Limits::of(64.0, 256) });
+    let peer = stage.connect();
+    (1..=3).for_each(|seqid| stage.send(peer, dispatch(seqid, seqid as u64, "plain", &[], b"")));
+    assert_eq!(stage.heard(peer), [Heard::Dismissed(3)]);
+    assert_eq!(stage.commands().len(), 2);
+}
+
+#[test]
+fn a_repeat_of_a_ticketed_invocation_shares_its_run_and_later_its_result() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    let ticket = [("k", "ticket-1")];
+    stage.send(peer, dispatch(1, 1, "marked", &ticket, b""));
+    stage.send(peer, dispatch(2, 2, "marked", &ticket, b""));
+    stage.run_over(1, RunOver::Success, b"made");
+    let both = [1, 2].map(|seqid| Heard::Succeeded(seqid, b"made".to_vec()));
+    let mut heard = stage.heard(peer);
+    heard.sort_by_key(|h| matches!(h, Heard::Succeeded(2, _)));
+    assert_eq!(heard, both);
+    stage.send(peer, dispatch(3, 3, "marked", &ticket, b""));
+    assert_eq!(stage.heard(peer), [Heard::Succeeded(3, b"made".to_vec())]);
+    assert_eq!(stage.commands(), ["launch 0000000000000001 marked 0"]);
+    stage.send(peer, dispatch(4, 4, "marked", &[("k", "ticket-2")], b""));
+    assert_eq!(stage.commands().len(), 1);
+}
+
+#[test]
+fn a_ticketed_invocation_that_failed_is_not_run_for_its_repeat() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "marked", &[("k", "t")], b""));
+    stage.run_over(1, RunOver::Failure, b"");
+    stage.send(peer, dispatch(2, 2, "marked", &[("k", "t")], b""));
+    assert_eq!(stage.heard(peer), [Heard::Scrapped(1), Heard::Scrapped(2)]);
+    assert_eq!(stage.commands().len(), 1);
+    stage.pass(60_000.0);
+    let peer = stage.connect();
+    stage.send(peer, dispatch(3, 3, "marked", &[("k", "t"), ("s", "9764576000123")], b""));
+    assert_eq!(stage.commands().iter().filter(|line| line.starts_with("launch")).count(), 1);
+}
+
+#[test]
+fn a_call_is_delivered_to_its_run_and_placed_anew_when_it_surely_never_ran() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "single", &[], b""));
+    stage.wants_call(1);
+    assert!(
+        matches!(stage.calls.try_recv(), Ok(Order::Call { id, body, .. }) if id == name(1) && body == b"ask")
+    );
+    stage.call_over(1, CallEnd::ProvenNotRun);
+    stage.pass(1000.0);
+    assert!(matches!(stage.calls.try_recv(), Ok(Order::Call { .. })));
+    stage.commands();
+    stage.call_over(1, CallEnd::Ok);
+    assert_eq!(stage.commands(), ["deliver 0000000000000001 4"]);
+    assert_eq!(stage.heard(peer), []);
+}
+
+#[test]
+fn an_exclusive_call_that_perhaps_ran_is_never_placed_anew() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "single", &[], b""));
+    stage.wants_call(1);
+    assert!(stage.calls.try_recv().is_ok());
+    stage.call_over(1, CallEnd::PerhapsRun);
+    stage.pass(1000.0);
+    assert!(stage.calls.try_recv().is_err());
+    assert_eq!(stage.heard(peer), [Heard::Scrapped(1)]);
+}
+
+#[test]
+fn a_call_that_nobody_waits_for_is_given_up() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.wants_call(1);
+    assert!(stage.calls.try_recv().is_ok());
+    stage.send(peer, cancel(1));
+    assert!(matches!(stage.calls.try_recv(), Ok(Order::GiveUp { id }) if id == name(1)));
+    stage.call_over(1, CallEnd::Ok);
+    assert_eq!(stage.commands().len(), 1);
+}
+
+#[test]
+fn a_full_queue_to_the_ledger_is_no_call_that_ran() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    (0..16).for_each(|id| stage.owner.ledger.try_send(Order::GiveUp { id: name(id) }).expect("room"));
+    stage.send(peer, dispatch(1, 1, "single", &[], b""));
+    stage.wants_call(1);
+    assert_eq!(stage.heard(peer), []);
+    (0..16).for_each(|_| drop(stage.calls.try_recv()));
+    stage.pass(1000.0);
+    assert!(matches!(stage.calls.try_recv(), Ok(Order::Call { .. })));
+}
+
+#[test]
+fn launches_in_doubt_are_written_anew_only_where_a_second_run_does_no_harm() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    for (seqid, offering) in [(1, "plain"), (2, "plain"), (3, "single"), (4, "plain")] {
+        if seqid == 2 {
+            // A sample that was answered proves what was written before it.
+            stage.owner.ask_gauges();
+            let tag = *stage.owner.samples.keys().next().expect("a sample");
+            stage.agent(Said::Sampled { tag, gauges: vec![0.1, 0.0] });
+        }
+        stage.send(peer, dispatch(seqid, seqid as u64, offering, &[], b""));
+    }
+    stage.wants_call(4);
+    stage.agent(Said::Down);
+    stage.link_up();
+    assert_eq!(stage.commands(), ["launch 0000000000000002 plain 0"]);
+}
+
+#[test]
+fn work_goes_on_without_the_agents_link_and_is_answered_in_time() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.agent(Said::Down);
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.send(peer, dispatch(2, 2, "single", &[("d", "500")], b""));
+    stage.pass(600.0);
+    let heard = stage.heard(peer);
+    assert!(heard.len() == 1 && heard != [Heard::Dismissed(1)], "{heard:?}");
+    stage.link_up();
+    assert_eq!(stage.commands(), ["launch 0000000000000001 plain 0"]);
+    assert_eq!(stage.owner.open.len(), 1);
+}
+
+#[test]
+fn a_reply_that_no_link_took_is_delivered_on_the_next() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.wants_call(1);
+    stage.agent(Said::Down);
+    stage.call_over(1, CallEnd::Ok);
+    stage.link_up();
+    assert_eq!(stage.commands(), ["deliver 0000000000000001 4"]);
+}
+
+#[test]
+fn a_wake_comes_though_its_gauges_do_not() {
+    let mut stage = Stage::new();
+    stage.pass(1000.0);
+    // Each wake asks for the next, whose sample is written in turn.
+    assert!(stage.commands().len() > 5);
+}
+
+#[test]
+fn the_slowest_reader_goes_when_too_much_waits_to_be_written() {
+    let mut stage = Stage::with(Limits { unwritten_bytes: 5000, ..Limits::of(64.0, 256) });
+    let (slow, other) = (stage.connect(), stage.connect());
+    for (id, peer) in [(1, slow), (2, slow), (3, other)] {
+        stage.send(peer, dispatch(1, id, "plain", &[], b""));
+        stage.run_over(id, RunOver::Success, &[7; 2000]);
+    }
+    assert_eq!(stage.heard(other), [Heard::Succeeded(1, vec![7; 2000])]);
+    assert!(!stage.owner.connections.contains_key(&slow));
+}
+
+#[test]
+fn a_peer_that_reads_nothing_is_bounded_by_itself() {
+    let mut stage = Stage::with(Limits { unwritten_each: 2000, ..Limits::of(64.0, 256) });
+    let peer = stage.connect();
+    for seqid in 1..=40 {
+        stage.send(peer, dispatch(seqid, seqid as u64, "plain", &[("t", "nobody")], b""));
+    }
+    assert!(stage.owner.connections.is_empty());
+    assert_eq!(stage.unwritten.get(), 0);
+}
+
+#[test]
+fn idle_connections_are_told_to_close_and_make_room_when_there_is_none() {
+    let mut stage = Stage::new();
+    let (first, second, busy) = (stage.connect(), stage.connect(), stage.connect());
+    stage.send(busy, dispatch(1, 1, "plain", &[], b""));
+    stage.owner.connections.get_mut(&second).expect("it is open").idle_since -= 1.0;
+    stage.owner.take(Event::Crowded { why: "none left".into() });
+    assert!(!stage.owner.connections.contains_key(&second) && stage.peers[second as usize].is_closed());
+    stage.owner.now += stage.owner.idle_ms;
+    stage.owner.close_idle();
+    assert_eq!((stage.heard(first), stage.heard(busy)), (vec![Heard::Closing], vec![]));
+    stage.owner.now += stage.owner.limits.closing_ms;
+    stage.owner.close_idle();
+    assert_eq!(stage.owner.connections.len(), 1);
+}
+
+#[test]
+fn garbled_bytes_end_a_connection_after_its_open_answers() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.send(peer, b"GET / HTTP/1.1".to_vec());
+    stage.send(peer, dispatch(2, 2, "plain", &[], b""));
+    stage.run_over(1, RunOver::Success, b"x");
+    assert_eq!(stage.heard(peer), [Heard::Closing, Heard::Succeeded(1, b"x".to_vec())]);
+    assert!(stage.owner.connections.is_empty());
+}
+
+#[test]
+fn after_the_notice_late_arrivals_are_not_run_and_all_is_answered_before_the_stop() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.owner.take(Event::Leave);
+    assert!(stage.owner.leaving_told.get());
+    assert_eq!(stage.heard(peer), [Heard::Closing]);
+    stage.pass(400.0);
+    stage.commands();
+    let came = (stage.owner.now as u64).to_string();
+    stage.owner.take(Event::Frame { connection: peer, frame: dispatch(2, 2, "plain", &[("s", &came)], b"") });
+    assert_eq!(stage.heard(peer), [Heard::Dismissed(2)]);
+    assert!(!stage.commands().iter().any(|line| line.starts_with("launch")));
+    assert!(!stage.owner.over);
+    stage.pass(2570.0);
+    assert_eq!(stage.heard(peer), [Heard::Dismissed(1)]);
+    stage.owner.take(Event::Ended { connection: peer, garbled: None });
+    stage.owner.settle();
+    assert!(stage.owner.over);
+}
+
+#[test]
+fn reads_share_an_answer_only_as_long_as_the_settings_say() {
+    let mut stage = Stage::new();
+    stage.owner.start.facts.share_answers_ms = 1000.0;
+    let mark = Mark::Read(0, 9);
+    stage.owner.remembered.keep(mark.clone(), 1, 10_000.0);
+    let original = |stage: &Stage, came| stage.owner.remembered.original(&mark, came, false, 1000.0);
+    assert_eq!(original(&stage, 0.0), Some(1));
+    stage.owner.remembered.ran(&mark, 1);
+    stage.owner.remembered.ended(&mark, 1, Some(b"x"), 100.0);
+    assert_eq!((original(&stage, 1100.0), original(&stage, 1101.0)), (Some(1), None));
+}
+
+#[test]
+fn remembered_results_stay_inside_their_bytes_and_their_span() {
+    let mut remembered = Remembered::new(10, 1000.0);
+    let mark = |n: u32| Mark::Ticket(0, n.to_string().into());
+    for n in 1..=3 {
+        remembered.keep(mark(n), n, 500.0);
+        remembered.ran(&mark(n), n);
+        remembered.ended(&mark(n), n, Some(b"12345"), 0.0);
+    }
+    assert_eq!(remembered.join(&mark(2), 9), crate::repeats::Repeated::Has(b"12345"));
+    assert_eq!(remembered.join(&mark(3), 9), crate::repeats::Repeated::HasNone);
+    assert_eq!(remembered.original(&mark(3), 499.0, true, 0.0), Some(3));
+    assert_eq!(remembered.original(&mark(3), 500.0, true, 0.0), None);
+    remembered.sweep(1600.0);
+    remembered.keep(mark(4), 4, 5000.0);
+    remembered.ended(&mark(4), 4, Some(b"1234567890"), 2000.0);
+    assert_eq!(remembered.join(&mark(4), 9), crate::repeats::Repeated::Has(b"1234567890"));
+}
