--- a/crates/plovershelf-server/tests/peers/mod.rs
+++ b/crates/plovershelf-server/tests/peers/mod.rs
@@ -99,7 +99,9 @@
 
 impl Sidecar {
     pub fn to(address: &str) -> Self {
-        let stream = TcpStream::connect(address).expect("a backend that listens");
+        Self::over(TcpStream::connect(address).expect("a backend that listens"))
+    }
+    pub fn over(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
         Sidecar(stream)
     }
@@ -151,6 +153,13 @@
             return Some((line, body));
         }
     }
+    /// Answers the next line, which asks for a sample.
+    pub fn sampled(&mut self) {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a line");
+        let tag = line.trim_end().strip_prefix("sample ").expect("a sample");
+        self.say(&format!("sampled {tag} 0.5 1"), None);
+    }
     pub fn expect(&mut self, beginning: &str) -> (String, Vec<u8>) {
         let (line, body) = self.next().expect("a line");
         assert!(line.starts_with(beginning), "{line:?} instead of {beginning:?}");
--- /dev/null
+++ b/crates/plovershelf-server/tests/process.rs
@@ -0,0 +1,282 @@
+//! The program itself on loopback, among stand-ins for its agent, its ledger, the roster and sidecars.
+
+mod peers;
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use peers::{alive, cancel, dispatch, Heard, Lines, Sidecar, SETTINGS};
+
+/// A running backend with the listeners of those it talks to.
+struct Backend {
+    child: Option<Child>,
+    address: String,
+    agent: TcpListener,
+    ledger: TcpListener,
+    roster: UdpSocket,
+}
+
+fn local() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+fn started_with(text: &str) -> Child {
+    let number =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_nanos();
+    let path: PathBuf =
+        std::env::temp_dir().join(format!("plovershelf-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a file of its own");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
+    command.env("RELAY_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
+    command.spawn().expect("the program")
+}
+
+impl Backend {
+    fn start(limits: &str) -> Self {
+        let (agent, ledger) = (local(), local());
+        let roster = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        roster.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
+        let address = local().local_addr().expect("an address").to_string();
+        let text = format!(
+            r#"{{"name": "n1", "listen": "{address}", "agent": "{}", "records": "{}", "registry": "{}",
+                "seed": "8c1f30d27a5be964", "stop_ms": 1500, "limits": {limits}, "settings": {SETTINGS}}}"#,
+            agent.local_addr().expect("an address"),
+            ledger.local_addr().expect("an address"),
+            roster.local_addr().expect("an address"),
+        );
+        let child = Some(started_with(&text));
+        Backend { child, address, agent, ledger, roster }
+    }
+
+    /// A backend whose agent is up, and the agent's side of the link.
+    fn up(limits: &str) -> (Self, Lines) {
+        let backend = Self::start(limits);
+        let mut agent = backend.link("subscribe 0", |_| ());
+        // The first sample after that of the link itself comes from a backend that has started.
+        agent.sampled();
+        (backend, agent)
+    }
+
+    fn usual() -> (Self, Lines) {
+        Self::up(r#"{"cores": 1.0, "memory_mb": 192, "sockets": 1024}"#)
+    }
+
+    /// Takes the backend's next link, tells it what it missed, and lets it through.
+    fn link(&self, subscribes: &str, missed: impl Fn(&mut Lines)) -> Lines {
+        let mut link = Lines::accept(&self.agent);
+        link.expect(subscribes);
+        link.say("greeting steady 1000", None);
+        missed(&mut link);
+        link.sampled();
+        link
+    }
+
+    fn sidecar(&self) -> Sidecar {
+        for _ in 0..2000 {
+            if let Ok(stream) = TcpStream::connect(&self.address) {
+                return Sidecar::over(stream);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("nothing listens")
+    }
+
+    fn told_to_leave(&self) {
+        let id = self.child.as_ref().expect("it runs").id().to_string();
+        assert!(Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().expect("sh").success());
+    }
+
+    fn end(mut self) -> Output {
+        self.child.take().expect("it runs").wait_with_output().expect("its end")
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+#[test]
+fn an_invocation_goes_through_run_call_and_answer_with_its_bytes_unchanged() {
+    let (backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    let body: Vec<u8> = (0..=255).cycle().take(2048).collect();
+    sidecar.send(&dispatch(2, 5, "single", &[], &body));
+    let (line, launched) = agent.expect("launch");
+    assert_eq!((&line[..], &launched), ("launch 0000000000000005 single 2048", &body));
+    agent.say("request 2 0000000000000005", Some(b"a\r\ncall"));
+    let mut ledger = Lines::accept(&backend.ledger);
+    let (line, call) = ledger.expect("OP 0000000000000005");
+    assert!(line.ends_with(" 7") && call == b"a\r\ncall");
+    ledger.say("0000000000000005 DONE", Some(b"\r\n\0reply"));
+    assert_eq!(agent.expect("deliver 0000000000000005").1, b"\r\n\0reply");
+    agent.say("outcome 3 0000000000000005 success 12", Some(&body));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, body)));
+    sidecar.send(&alive(3));
+    assert_eq!(sidecar.hear(), Some(Heard::Fit(3, true)));
+    let mut beat = [0; 64];
+    let length = backend.roster.recv(&mut beat).expect("a beat");
+    assert_eq!(&beat[..length], b"BEAT n1 ready");
+}
+
+#[test]
+fn a_broken_link_is_taken_up_after_the_last_notice_and_runs_nothing_twice() {
+    let (backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    sidecar.send(&dispatch(3, 3, "plain", &[], b""));
+    sidecar.send(&dispatch(4, 4, "single", &[], b""));
+    (0..3).for_each(|_| drop(agent.expect("launch")));
+    agent.say("request 2 0000000000000003", Some(b"ask"));
+    let mut ledger = Lines::accept(&backend.ledger);
+    ledger.expect("OP 0000000000000003");
+    drop(agent);
+    let mut agent = backend.link("subscribe 2", |link| {
+        link.say("request 2 0000000000000003", Some(b"ask"));
+        link.say("outcome 3 0000000000000002 success 9", Some(b"two"));
+        link.say("aside 4 nothing of note", None);
+    });
+    ledger.say("0000000000000003 DONE", Some(b"told"));
+    // Neither the ended run nor the one that may run once only is launched anew.
+    agent.expect("deliver 0000000000000003");
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"two".to_vec())));
+    agent.say("outcome 5 0000000000000004 success 9", Some(b"four"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(4, b"four".to_vec())));
+    agent.say("not a notice", None);
+    let mut agent = backend.link("subscribe 5", |_| ());
+    agent.say("outcome 6 0000000000000003 success 9", Some(b"three"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(3, b"three".to_vec())));
+}
+
+#[test]
+fn calls_go_on_after_the_ledger_was_down_broke_off_or_spoke_nonsense() {
+    let (mut backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    sidecar.send(&dispatch(3, 3, "single", &[], b""));
+    (0..2).for_each(|_| drop(agent.expect("launch")));
+    let address = backend.ledger.local_addr().expect("an address");
+    backend.ledger = local();
+    agent.say("request 2 0000000000000002", Some(b"ask"));
+    std::thread::sleep(Duration::from_millis(100));
+    backend.ledger = TcpListener::bind(address).expect("the same port");
+    // Refused connections prove that nothing ran; a connection that breaks proves nothing.
+    drop(Lines::accept(&backend.ledger).expect("OP 0000000000000002"));
+    let mut ledger = Lines::accept(&backend.ledger);
+    ledger.expect("OP 0000000000000002");
+    ledger.say("0000000000000002 WAIT", None);
+    ledger.expect("OP 0000000000000002");
+    ledger.say("what is this", None);
+    let mut ledger = Lines::accept(&backend.ledger);
+    ledger.expect("OP 0000000000000002");
+    ledger.say("0000000000000002 DONE", Some(b"told"));
+    agent.expect("deliver 0000000000000002");
+    agent.say("request 3 0000000000000003", Some(b"ask"));
+    ledger.expect("OP 0000000000000003");
+    drop(ledger);
+    assert_eq!(sidecar.hear(), Some(Heard::Scrapped(3)));
+}
+
+#[test]
+fn nonsense_on_one_connection_leaves_its_neighbours_alone() {
+    let (backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    let frames: [&[u8]; 6] = [
+        b"\xff\xff\xff\xff",
+        b"\x7f\xff\xff\xff",
+        b"\0\0\0\x04\0\0\0\0",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\0\0\0\x0c\x80\x01\0\x01\x7f\xff\xff\xff\0\0\0\0",
+        b"\0\0",
+    ];
+    for bytes in frames {
+        let mut other = Sidecar::to(&backend.address);
+        other.0.write_all(bytes).expect("a connection that takes bytes");
+        other.0.shutdown(std::net::Shutdown::Write).expect("an end");
+        while other.hear().is_some() {}
+    }
+    sidecar.send(&cancel(77));
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    agent.expect("launch");
+    agent.say("outcome 2 0000000000000002 success 1", Some(b"x"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"x".to_vec())));
+}
+
+#[test]
+fn the_notice_to_leave_ends_in_a_clean_exit_with_all_answered() {
+    let (backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    sidecar.send(&dispatch(3, 3, "plain", &[], b""));
+    (0..2).for_each(|_| drop(agent.expect("launch")));
+    backend.told_to_leave();
+    assert_eq!(sidecar.hear(), Some(Heard::Closing));
+    agent.say("outcome 2 0000000000000002 success 1", Some(b"x"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"x".to_vec())));
+    // The other run never ends; its caller is answered all the same.
+    assert_eq!(sidecar.hear(), Some(Heard::Dismissed(3)));
+    let mut beat = [0; 64];
+    while !beat.starts_with(b"BEAT n1 draining") {
+        backend.roster.recv(&mut beat).expect("a beat");
+    }
+    drop(sidecar);
+    assert_eq!(backend.end().status.code(), Some(0));
+}
+
+#[test]
+fn a_start_that_is_told_nothing_or_nonsense_ends_with_one_line() {
+    for (text, named) in [("{", "parse"), ("{}", "name"), (r#"{"name": "n1", "seed": "x"}"#, "seed")] {
+        let output = started_with(text).wait_with_output().expect("its end");
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains(named), "{said}");
+    }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
+    let output = command.env_remove("RELAY_CONFIG").output().expect("the program");
+    assert_eq!(output.status.code(), Some(2));
+}
+
+#[test]
+fn more_connections_than_descriptors_make_idle_ones_go_and_are_all_served() {
+    let (backend, _agent) = Backend::up(r#"{"cores": 1.0, "memory_mb": 64, "sockets": 48}"#);
+    backend.sidecar();
+    let mut kept = Vec::new();
+    for seqid in 1..=150 {
+        let mut sidecar = Sidecar::to(&backend.address);
+        sidecar.send(&alive(seqid));
+        assert_eq!(sidecar.hear(), Some(Heard::Fit(seqid, true)));
+        kept.push(sidecar);
+    }
+    assert_eq!(kept[0].hear(), Some(Heard::Closing));
+    assert_eq!(kept[0].hear(), None);
+}
+
+#[test]
+fn full_connections_whose_peers_read_nothing_stay_inside_the_memory() {
+    let (backend, _agent) = Backend::up(r#"{"cores": 1.0, "memory_mb": 24, "sockets": 512}"#);
+    backend.sidecar();
+    let body = vec![7; 2048];
+    let mut kept = Vec::new();
+    for number in 0..200u64 {
+        let mut sidecar = Sidecar::to(&backend.address);
+        for seqid in 1..=32 {
+            sidecar.send(&dispatch(seqid, 1000 * (number + 1) + seqid as u64, "better", &[], &body));
+        }
+        kept.push(sidecar);
+    }
+    let mut last = Sidecar::to(&backend.address);
+    last.send(&alive(1));
+    assert_eq!(last.hear(), Some(Heard::Fit(1, true)));
+    let id = backend.child.as_ref().expect("it runs").id();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("its status");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+    let peak_kb: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(peak_kb < 24 << 10, "{peak_kb} kB");
+}
