--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# CI runs `make lint build test`; `make run` starts one backend with the configuration named by CONFIG.
+CONFIG ?= $(RELAY_CONFIG)
+
+.PHONY: all build test lint run
+
+all: lint build test
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+run: build
+	RELAY_CONFIG=$(CONFIG) target/release/plovershelf-server
--- a/crates/plovershelf-codec/src/agent.rs
+++ b/crates/plovershelf-codec/src/agent.rs
@@ -17,12 +17,33 @@
 /// What the agent says. Numbered notices come once each and are told again on a new link.
 #[derive(Debug, PartialEq)]
 pub enum Notice<'a> {
-    Greeting { fresh: bool, up_for_ms: f64 },
-    Outcome { number: u64, id: TryId, over: RunOver, result: &'a [u8] },
-    Request { number: u64, id: TryId, call: &'a [u8] },
-    Sampled { tag: &'a [u8], gauges: Vec<f64> },
-    Refusal { command: &'a [u8], id: TryId },
-    Aside { number: u64 },
+    Greeting {
+        fresh: bool,
+        up_for_ms: f64,
+    },
+    Outcome {
+        number: u64,
+        id: TryId,
+        over: RunOver,
+        result: &'a [u8],
+    },
+    Request {
+        number: u64,
+        id: TryId,
+        call: &'a [u8],
+    },
+    Sampled {
+        tag: &'a [u8],
+        gauges: Vec<f64>,
+    },
+    /// What it was about: a try's name, or the tag of a sample.
+    Refusal {
+        command: &'a [u8],
+        about: &'a [u8],
+    },
+    Aside {
+        number: u64,
+    },
 }
 
 /// The first notice of what was read and the bytes it takes; `None` until it is whole. Bytes that belong to a
@@ -57,7 +78,7 @@
             let gauges: Option<Vec<f64>> = values.iter().map(|v| measure(v)).collect();
             gauges.map(|gauges| Notice::Sampled { tag, gauges })
         }
-        [b"refusal", command, id] => try_id(id).map(|id| Notice::Refusal { command, id }),
+        [b"refusal", command, about] => Some(Notice::Refusal { command, about }),
         [b"aside", n, ..] => number(n).map(|number| Notice::Aside { number }),
         _ => None,
     };
--- a/crates/plovershelf-codec/src/lib.rs
+++ b/crates/plovershelf-codec/src/lib.rs
@@ -13,8 +13,3 @@
 fn try_id(text: &[u8]) -> Option<TryId> {
     text.try_into().ok().filter(|id: &TryId| id.iter().all(u8::is_ascii_hexdigit))
 }
-
-/// A try's name as text, for lines and logs.
-pub fn name_of(id: &TryId) -> &str {
-    std::str::from_utf8(id).unwrap_or("")
-}
--- a/crates/plovershelf-codec/src/lines/tests.rs
+++ b/crates/plovershelf-codec/src/lines/tests.rs
@@ -24,7 +24,8 @@
     let gauges = vec![0.5, 12.0, 0.25, 24.0];
     assert_eq!(notice("sampled 3 0.5 12 0.25 24\r\n"), Notice::Sampled { tag: b"3", gauges });
     let told = format!("refusal launch {NAME}\r\n");
-    assert_eq!(notice(&told), Notice::Refusal { command: b"launch", id: ID });
+    assert_eq!(notice(&told), Notice::Refusal { command: b"launch", about: &ID });
+    assert_eq!(notice("refusal sample 0\r\n"), Notice::Refusal { command: b"sample", about: b"0" });
     assert_eq!(notice("aside 9 any words at all\r\n"), Notice::Aside { number: 9 });
 }
 
--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -42,7 +42,7 @@
     },
     Refused {
         command: String,
-        id: TryId,
+        about: Vec<u8>,
     },
 }
 
@@ -52,16 +52,20 @@
     loop {
         let before = last_read;
         let mut greeted = false;
-        match Async::<TcpStream>::connect(address).await {
-            Ok(stream) => {
-                let ended = link(&stream, &mut last_read, &mut greeted, &inbox, &limits).await;
-                tracing::warn!("the agent's link ended after notice {last_read}: {}", ended.unwrap_err());
+        let ended = match Async::<TcpStream>::connect(address).await {
+            Ok(stream) => link(&stream, &mut last_read, &mut greeted, &inbox, &limits).await.err(),
+            Err(error) => {
+                tracing::debug!("connecting to the agent: {error}");
+                None
             }
-            Err(error) => tracing::debug!("connecting to the agent: {error}"),
-        }
+        };
+        // Where nobody takes events any more, the program ends and the link with it.
         if inbox.send(Event::Agent(Said::Down)).await.is_err() {
             return;
         }
+        if let Some(error) = ended {
+            tracing::warn!("the agent's link ended after notice {last_read}: {error}");
+        }
         rest_ms = if greeted || last_read > before { limits.retry_first_ms } else { rest_ms };
         Timer::after(Duration::from_millis(rest_ms)).await;
         rest_ms = (2 * rest_ms).min(limits.retry_most_ms);
@@ -82,12 +86,9 @@
 ) -> io::Result<std::convert::Infallible> {
     stream.get_ref().set_nodelay(true)?;
     let (sender, orders) = async_channel::bounded::<Vec<u8>>(limits.orders);
-    // Nothing but the fence is written before all that was missed has been read.
-    let first = [agent::subscribe(*last_read), agent::sample(FENCE)].concat();
-    let write = async {
-        write_all(stream, &first, limits).await?;
-        write_orders(stream, orders, limits).await
-    };
+    // Before the agent is up it takes no command; before all that was missed has been read, none but the fence.
+    write_all(stream, &agent::subscribe(*last_read), limits).await?;
+    let write = write_orders(stream, orders, limits);
     let read = async {
         let mut inflow = Inflow::new(limits.body_bytes + 2048, limits.read_bytes);
         let mut greeting = None;
@@ -104,6 +105,7 @@
                 Notice::Greeting { fresh, up_for_ms } => {
                     *greeted = true;
                     greeting = Some((fresh, up_for_ms));
+                    write_all(stream, &agent::sample(FENCE), limits).await?;
                     None
                 }
                 Notice::Outcome { number, id, over, result } => fresh_notice(number, last_read)
@@ -124,9 +126,10 @@
                         (None, _, _) => return Err(broken("a sample with a foreign tag")),
                     }
                 }
-                Notice::Refusal { command, id } => {
-                    Some(Said::Refused { command: String::from_utf8_lossy(command).into_owned(), id })
-                }
+                Notice::Refusal { command, about } => Some(Said::Refused {
+                    command: String::from_utf8_lossy(command).into_owned(),
+                    about: about.to_vec(),
+                }),
                 Notice::Aside { number } => {
                     fresh_notice(number, last_read);
                     None
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -4,7 +4,7 @@
 use plovershelf::interface::{CallEnd, Gauges, Repeats, RunEnd, State, Wake};
 use plovershelf::logic::Backend;
 use plovershelf_codec::agent::{self as commands, RunOver};
-use plovershelf_codec::{name_of, TryId};
+use plovershelf_codec::TryId;
 
 use super::{Due, Owner, NEVER};
 use crate::agent::Said;
@@ -34,10 +34,13 @@
                     self.wake(Wake::Periodic, gauges);
                 }
             }
-            Said::Refused { command, id } => {
-                self.complain(&format!("the agent refused {command:?} for {}", name_of(&id)));
-                if command == "launch" {
-                    self.run_over(id, RunOver::Nothing, Vec::new());
+            Said::Refused { command, about } => {
+                let about = String::from_utf8_lossy(&about).into_owned();
+                self.complain(&format!("the agent refused {command:?} for {about:?}"));
+                if let Ok(id) = TryId::try_from(about.as_bytes()) {
+                    if command == "launch" {
+                        self.run_over(id, RunOver::Nothing, Vec::new());
+                    }
                 }
             }
         }
--- a/crates/plovershelf-server/tests/peers/mod.rs
+++ b/crates/plovershelf-server/tests/peers/mod.rs
@@ -153,6 +153,14 @@
             return Some((line, body));
         }
     }
+    /// Does anything come within the span?
+    pub fn has_more(&mut self, span: Duration) -> bool {
+        let usual = self.reader.get_ref().read_timeout().expect("a timeout");
+        self.reader.get_ref().set_read_timeout(Some(span)).expect("a timeout");
+        let came = self.reader.fill_buf().is_ok();
+        self.reader.get_ref().set_read_timeout(usual).expect("a timeout");
+        came
+    }
     /// Answers the next line, which asks for a sample.
     pub fn sampled(&mut self) {
         let mut line = String::new();
--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -155,6 +155,26 @@
     assert_eq!(sidecar.hear(), Some(Heard::Succeeded(3, b"three".to_vec())));
 }
 
+#[test]
+fn an_agent_that_comes_up_late_is_asked_nothing_before() {
+    let backend = Backend::start(r#"{"cores": 1.0, "memory_mb": 192, "sockets": 1024}"#);
+    let mut link = Lines::accept(&backend.agent);
+    link.expect("subscribe 0");
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&alive(1));
+    assert_eq!(sidecar.hear(), Some(Heard::Fit(1, true)));
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    assert_eq!(sidecar.hear(), Some(Heard::Complaint(2)));
+    assert!(!link.has_more(Duration::from_millis(200)));
+    link.say("greeting booting 0", None);
+    link.sampled();
+    link.sampled();
+    sidecar.send(&dispatch(3, 3, "plain", &[], b""));
+    link.expect("launch");
+    link.say("refusal launch 0000000000000003", None);
+    assert_eq!(sidecar.hear(), Some(Heard::Scrapped(3)));
+}
+
 #[test]
 fn calls_go_on_after_the_ledger_was_down_broke_off_or_spoke_nonsense() {
     let (mut backend, mut agent) = Backend::usual();
