--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -124,3 +124,51 @@
     };
     future::or(read, write).await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{BufRead, BufReader, Write};
+
+    /// Answers one line on the next connection, then waits for its end.
+    fn answer_once(listener: &std::net::TcpListener, answer: &str) {
+        let mut reader = BufReader::new(listener.accept().expect("a connection").0);
+        let mut lines = String::new();
+        for _ in 0..2 {
+            reader.read_line(&mut lines).expect("a line");
+        }
+        reader.get_mut().write_all(answer.as_bytes()).expect("it is taken");
+        while reader.read_line(&mut lines).expect("a line or the end") > 0 {}
+    }
+
+    #[test]
+    fn a_connection_is_let_go_when_idle_and_opened_for_the_next_call() {
+        let id = *b"9b1f03aa5c7e2d41";
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let far = std::thread::spawn(move || {
+            answer_once(&listener, "9b1f03aa5c7e2d41 PAST\r\n");
+            answer_once(&listener, "9b1f03aa5c7e2d41 EMPTY\r\n");
+        });
+        let (events, inbox) = async_channel::bounded(4);
+        let (calls, orders) = async_channel::bounded(4);
+        let limits = Rc::new(Limits { ledger_idle_ms: 50, ..Limits::of(64.0, 64) });
+        let keep = keep_calls(address, orders, events, limits);
+        let talk = async {
+            let mut ends = Vec::new();
+            for _ in 0..2 {
+                let body = b"ask".to_vec();
+                calls.send(Order::Call { id, within_ms: 1000.0, body }).await.expect("it is taken");
+                if let Ok(Event::CallOver { end, .. }) = inbox.recv().await {
+                    ends.push(end);
+                }
+                Timer::after(Duration::from_millis(200)).await;
+            }
+            calls.close();
+            ends
+        };
+        let (_, ends) = async_io::block_on(future::zip(keep, talk));
+        assert_eq!(ends, [CallEnd::GivenUp, CallEnd::ProvenNotRun]);
+        far.join().expect("both connections were let go");
+    }
+}
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -82,7 +82,7 @@
             gauges_ms: 25.0,
             read_late_ms: 10_000.0,
             longest_wait_ms: 3_600_000.0,
-            closing_ms: 1000.0,
+            closing_ms: 10_000.0,
             accept_rest_ms: 5,
             exit_early_ms: 20.0,
             refuse_early_ms: 200.0,
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -284,10 +284,8 @@
         while let Some((id, end)) = self.ended.pop_front() {
             self.decide(|backend, now| backend.run_ended(now, id, end));
         }
-        let answered = self.open.values().all(|open| open.answered);
-        if self.grace_over && answered && self.connections.is_empty() {
-            self.over = true;
-        }
+        let idle = || self.connections.is_empty() && self.open.values().all(|open| open.answered);
+        self.over |= self.grace_over && idle();
     }
 
     /// Asks the module and carries out what it says.
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -241,7 +241,11 @@
         self.complain(why);
         let idle = self.connections.iter().filter(|(_, c)| c.open.is_empty());
         let longest = idle.min_by(|(_, a), (_, b)| a.idle_since.total_cmp(&b.idle_since));
-        if let Some(connection) = longest.map(|(number, _)| *number) {
+        let Some((connection, peer)) = longest.map(|(number, peer)| (*number, peer)) else { return };
+        // One whose peer takes nothing would keep its descriptor until its writer gives up.
+        if peer.outbox.unwritten() > 0 {
+            self.lost(connection);
+        } else {
             self.tell_closing(connection);
             self.connections.remove(&connection);
         }
--- a/crates/plovershelf-server/src/sidecars.rs
+++ b/crates/plovershelf-server/src/sidecars.rs
@@ -179,3 +179,24 @@
         written(unwritten, all, bytes.len());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_peer_that_takes_nothing_ends_its_writer() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let near = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+        let (_far, _) = listener.accept().expect("its other end");
+        let stream = Async::new(near).expect("a stream");
+        let limits =
+            Limits { unwritten_each: usize::MAX, unwritten_bytes: usize::MAX, ..Limits::of(64.0, 64) };
+        let (outbox, frames) = Outbox::new(None, Rc::default(), &limits);
+        (0..64).for_each(|_| outbox.push(vec![0; 1 << 20]).expect("room"));
+        let (unwritten, all) = (outbox.unwritten.clone(), outbox.unwritten_all.clone());
+        async_io::block_on(write_frames(&stream, frames, &unwritten, &all, 50));
+        assert!(outbox.unwritten() > 0);
+        assert_eq!(outbox.push(vec![0]), Err(Unwritten::Here));
+    }
+}
