--- a/crates/plovershelf-codec/src/front.rs
+++ b/crates/plovershelf-codec/src/front.rs
@@ -110,12 +110,7 @@
         Ok(i32::from_be_bytes(self.array()?))
     }
     fn count(&mut self) -> Result<usize, &'static str> {
-        let count = usize::try_from(self.i32()?).map_err(|_| "a negative length")?;
-        // Whatever is counted takes a byte each at least.
-        if count > self.left.len() {
-            return Err(SHORT);
-        }
-        Ok(count)
+        usize::try_from(self.i32()?).map_err(|_| "a negative length")
     }
     fn binary(&mut self) -> Result<&'a [u8], &'static str> {
         let length = self.count()?;
--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -177,3 +177,13 @@
     };
     future::or(stream.write_all(bytes), stalled).await
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn a_notice_that_is_told_again_counts_once() {
+        let mut last_read = 4;
+        let counts = [5, 4, 5, 7].map(|number| super::fresh_notice(number, &mut last_read));
+        assert_eq!((counts, last_read), ([true, false, false, true], 7));
+    }
+}
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -180,7 +180,7 @@
 fn times_beyond_all_measure_are_bounded() {
     let mut stage = Stage::new();
     let peer = stage.connect();
-    stage.send(peer, dispatch(1, 1, "plain", &[("d", "1e300"), ("s", "1e300")], b""));
+    stage.send(peer, dispatch(1, 1, "single", &[("d", "1e300"), ("s", "1e300")], b""));
     stage.send(peer, dispatch(2, 2, "plain", &[("d", "0"), ("s", "0")], b""));
     assert_eq!(stage.heard(peer), [Heard::Dismissed(2)]);
     let last = stage.owner.due.last().expect("a due time").0;
@@ -404,12 +404,16 @@
 #[test]
 fn after_the_notice_late_arrivals_are_not_run_and_all_is_answered_before_the_stop() {
     let mut stage = Stage::new();
+    let executor = async_executor::LocalExecutor::new();
+    stage.owner.accepting = Some(executor.spawn(async {}));
     let peer = stage.connect();
     stage.send(peer, dispatch(1, 1, "plain", &[], b""));
     stage.owner.take(Event::Leave);
+    assert!(stage.owner.accepting.is_some());
     assert!(stage.owner.leaving_told.get());
     assert_eq!(stage.heard(peer), [Heard::Closing]);
     stage.pass(400.0);
+    assert!(stage.owner.accepting.is_none());
     stage.commands();
     let came = (stage.owner.now as u64).to_string();
     stage.owner.take(Event::Frame { connection: peer, frame: dispatch(2, 2, "plain", &[("s", &came)], b"") });
