--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -125,10 +125,10 @@
     /// Runs of repeats that ended with what they repeat, to be told to the module.
     ended: VecDeque<(u32, RunEnd)>,
     agent: Option<Sender<Vec<u8>>>,
-    /// Commands written, how many of them the agent has surely read, and the samples on their way.
+    /// Commands written, and how many of them the agent has surely read. A sample's tag is its place in this
+    /// order, so its answer proves that all before it were read.
     commands: u64,
     commands_read: u64,
-    samples: BTreeMap<u64, u64>,
     gauges_for: Option<u64>,
     advice: Option<f64>,
     fit: bool,
@@ -174,7 +174,6 @@
             agent: None,
             commands: 0,
             commands_read: 0,
-            samples: BTreeMap::new(),
             gauges_for: None,
             advice: None,
             fit: true,
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -25,9 +25,7 @@
                 self.decide(|backend, now| backend.wants_call(now, id));
             }
             Said::Sampled { tag, gauges } => {
-                if let Some(read) = self.samples.remove(&tag) {
-                    self.commands_read = self.commands_read.max(read);
-                }
+                self.commands_read = self.commands_read.max(tag.min(self.commands));
                 if self.gauges_for == Some(tag) {
                     self.gauges_for = None;
                     let gauges = self.start.gauges(gauges);
@@ -48,7 +46,6 @@
 
     pub(super) fn agent_up(&mut self, fresh: bool, up_for_ms: f64, orders: Sender<Vec<u8>>) {
         self.agent = Some(orders);
-        self.samples.clear();
         if self.backend.is_none() {
             let mut facts = self.start.facts.clone();
             facts.just_started = fresh;
@@ -139,10 +136,8 @@
     pub(super) fn ask_gauges(&mut self) {
         self.close_idle();
         self.remembered.sweep(self.now);
-        let tag = self.due_count + 1;
-        match self.command(commands::sample(tag)) {
-            Some(place) => {
-                self.samples.insert(tag, place);
+        match self.command(commands::sample(self.commands + 1)) {
+            Some(tag) => {
                 self.gauges_for = Some(tag);
                 self.at(self.limits.gauges_ms, Due::GaugesLate(tag));
             }
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -304,7 +304,8 @@
         if seqid == 2 {
             // A sample that was answered proves what was written before it.
             stage.owner.ask_gauges();
-            let tag = *stage.owner.samples.keys().next().expect("a sample");
+            let asked = stage.commands().pop().expect("a sample");
+            let tag = asked.strip_prefix("sample ").expect("a sample").parse().expect("a tag");
             stage.agent(Said::Sampled { tag, gauges: vec![0.1, 0.0] });
         }
         stage.send(peer, dispatch(seqid, seqid as u64, offering, &[], b""));
