--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -47,6 +47,10 @@
     pub(super) fn agent_up(&mut self, fresh: bool, up_for_ms: f64, orders: Sender<Vec<u8>>) {
         self.agent = Some(orders);
         if self.backend.is_none() {
+            // One that was told to leave before its agent came up takes nothing any more.
+            if self.leaving_told.get() {
+                return;
+            }
             let mut facts = self.start.facts.clone();
             facts.just_started = fresh;
             let (backend, outcome) = Backend::start(self.now - up_for_ms, facts);
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -428,6 +428,20 @@
     assert!(stage.owner.over);
 }
 
+#[test]
+fn one_told_to_leave_before_its_agent_is_up_takes_nothing() {
+    let mut stage = Stage::new();
+    stage.owner.backend = None;
+    stage.owner.take(Event::Leave);
+    stage.link_up();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    assert_eq!((stage.heard(peer), stage.commands().len()), (vec![Heard::Complaint(1)], 0));
+    stage.owner.take(Event::Ended { connection: peer, garbled: None });
+    stage.pass(400.0);
+    assert!(stage.owner.over);
+}
+
 #[test]
 fn reads_share_an_answer_only_as_long_as_the_settings_say() {
     let mut stage = Stage::new();
