One place for stalls, gathered writes, lengths behind lines and connections read no more

Read over, behaviour as it was: write_frames wrote again what write_all and write_orders do, the ledger's connect had a timeout of its own, lengths behind lines were bounded twice, a deaf connection was ended in two places and complained of in three; Open.gone was never read; a sequence number in use was found after the arrival had been worked out; an answer already given was guarded against before and in answer(). The bound of a line with its bytes joins the limits.

--- a/crates/plovershelf-codec/src/agent.rs
+++ b/crates/plovershelf-codec/src/agent.rs
@@ -1,6 +1,6 @@
 //! The lines spoken with the agent that owns the cores: commands to it, notices from it.
 
-use crate::lines::{bad, measure, number, take_body, take_line, words, BadLine};
+use crate::lines::{bad, measure, number, push_body, take_body, take_line, words, BadLine};
 use crate::{try_id, TryId};
 
 /// Gauges that one answer may hold.
@@ -57,22 +57,15 @@
             let (Some(number), Some(id), Some(over)) = (number(n), try_id(id), run_over(over)) else {
                 return bad("an outcome does not parse", line);
             };
-            return with_body(read, line, used, length, most_body, |result| Notice::Outcome {
-                number,
-                id,
-                over,
-                result,
-            });
+            let body = take_body(read, line, used, length, most_body)?;
+            return Ok(body.map(|(result, end)| (Notice::Outcome { number, id, over, result }, end)));
         }
         [b"request", n, id, length] => {
             let (Some(number), Some(id)) = (number(n), try_id(id)) else {
                 return bad("a call does not parse", line);
             };
-            return with_body(read, line, used, length, most_body, |call| Notice::Request {
-                number,
-                id,
-                call,
-            });
+            let body = take_body(read, line, used, length, most_body)?;
+            return Ok(body.map(|(call, end)| (Notice::Request { number, id, call }, end)));
         }
         [b"sampled", tag, ref values @ ..] if values.len() <= MOST_GAUGES => {
             let gauges: Option<Vec<f64>> = values.iter().map(|v| measure(v)).collect();
@@ -107,20 +100,6 @@
     })
 }
 
-fn with_body<'a>(
-    read: &'a [u8],
-    line: &[u8],
-    used: usize,
-    length: &[u8],
-    most_body: usize,
-    make: impl FnOnce(&'a [u8]) -> Notice<'a>,
-) -> Result<Option<(Notice<'a>, usize)>, BadLine> {
-    let Some(length) = number(length).filter(|length| *length <= most_body) else {
-        return bad("a length is out of bounds", line);
-    };
-    Ok(take_body(read, used, length)?.map(|(body, end)| (make(body), end)))
-}
-
 pub fn subscribe(last_read: u64) -> Vec<u8> {
     format!("subscribe {last_read}\r\n").into_bytes()
 }
@@ -149,9 +128,3 @@
 pub fn sample(tag: u64) -> Vec<u8> {
     format!("sample {tag}\r\n").into_bytes()
 }
-
-pub(crate) fn push_body(line: &mut Vec<u8>, body: &[u8]) {
-    line.extend_from_slice(format!(" {}\r\n", body.len()).as_bytes());
-    line.extend_from_slice(body);
-    line.extend_from_slice(b"\r\n");
-}
--- a/crates/plovershelf-codec/src/front.rs
+++ b/crates/plovershelf-codec/src/front.rs
@@ -74,12 +74,12 @@
 }
 
 /// The length of the frame that the bytes begin with, or `None` while its four bytes are not all there.
-pub fn frame_length(read: &[u8], most: usize) -> Result<Option<usize>, Fault> {
+pub fn frame_length(read: &[u8], most: usize) -> Result<Option<usize>, &'static str> {
     let Some(head) = read.first_chunk::<4>() else { return Ok(None) };
     match usize::try_from(i32::from_be_bytes(*head)) {
         Ok(length) if length <= most => Ok(Some(length)),
-        Ok(_) => Err(Fault::Garbled("a frame is too long")),
-        Err(_) => Err(Fault::Garbled("a frame has a negative length")),
+        Ok(_) => Err("a frame is too long"),
+        Err(_) => Err("a frame has a negative length"),
     }
 }
 
--- a/crates/plovershelf-codec/src/ledger.rs
+++ b/crates/plovershelf-codec/src/ledger.rs
@@ -1,7 +1,6 @@
 //! The lines spoken with the ledger that all backends share.
 
-use crate::agent::push_body;
-use crate::lines::{bad, number, take_body, take_line, words, BadLine};
+use crate::lines::{bad, push_body, take_body, take_line, words, BadLine};
 use crate::{try_id, TryId};
 
 #[derive(Debug, PartialEq, Eq)]
@@ -23,10 +22,9 @@
     let parts: Vec<&[u8]> = words(line).take(4).collect();
     let (id, answer) = match parts[..] {
         [id, b"DONE", length] => {
-            let (Some(id), Some(length)) = (try_id(id), number(length).filter(|l| *l <= most_body)) else {
-                return bad("an answer does not parse", line);
-            };
-            return Ok(take_body(read, used, length)?.map(|(reply, end)| (id, Answer::Done(reply), end)));
+            let Some(id) = try_id(id) else { return bad("an answer names no call", line) };
+            let body = take_body(read, line, used, length, most_body)?;
+            return Ok(body.map(|(reply, end)| (id, Answer::Done(reply), end)));
         }
         [id, b"WAIT"] => (id, Answer::Wait),
         [id, b"ERROR"] => (id, Answer::Error),
--- a/crates/plovershelf-codec/src/lines.rs
+++ b/crates/plovershelf-codec/src/lines.rs
@@ -22,8 +22,17 @@
     }
 }
 
-/// The bytes behind a line that tells their length, and where they end; `None` until all are there.
-pub(crate) fn take_body(read: &[u8], from: usize, length: usize) -> Result<Option<(&[u8], usize)>, BadLine> {
+/// The bytes behind a line whose last word is their length, and where they end; `None` until all are there.
+pub(crate) fn take_body<'a>(
+    read: &'a [u8],
+    line: &[u8],
+    from: usize,
+    length: &[u8],
+    most: usize,
+) -> Result<Option<(&'a [u8], usize)>, BadLine> {
+    let Some(length) = number::<usize>(length).filter(|length| *length <= most) else {
+        return bad("a length is out of bounds", line);
+    };
     let end = from + length;
     match read.get(end..end + 2) {
         Some(b"\r\n") => Ok(Some((&read[from..end], end + 2))),
@@ -32,6 +41,13 @@
     }
 }
 
+/// Ends a line with the length of a body, and the body behind it.
+pub(crate) fn push_body(line: &mut Vec<u8>, body: &[u8]) {
+    line.extend_from_slice(format!(" {}\r\n", body.len()).as_bytes());
+    line.extend_from_slice(body);
+    line.extend_from_slice(b"\r\n");
+}
+
 pub(crate) fn words(line: &[u8]) -> impl Iterator<Item = &[u8]> {
     line.split(|b| *b == b' ')
 }
--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -7,13 +7,13 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 use plovershelf_codec::agent::{self, Notice, RunOver};
 use plovershelf_codec::TryId;
 
-use crate::inflow::Inflow;
 use crate::limits::Limits;
 use crate::owner::Event;
+use crate::streams::{gather, write_all, Inflow};
 
 /// The tag of the sample that tells when all notices of before have been read. Others begin at 1.
 const FENCE: u64 = 0;
@@ -87,10 +87,10 @@
     stream.get_ref().set_nodelay(true)?;
     let (sender, orders) = async_channel::bounded::<Vec<u8>>(limits.orders);
     // Before the agent is up it takes no command; before all that was missed has been read, none but the fence.
-    write_all(stream, &agent::subscribe(*last_read), limits).await?;
+    write_all(stream, &agent::subscribe(*last_read), limits.stall_ms).await?;
     let write = write_orders(stream, orders, limits);
     let read = async {
-        let mut inflow = Inflow::new(limits.body_bytes + 2048, limits.read_bytes);
+        let mut inflow = Inflow::new(limits.line_bytes, limits.read_bytes);
         let mut greeting = None;
         let mut sender = Some(sender);
         loop {
@@ -105,7 +105,7 @@
                 Notice::Greeting { fresh, up_for_ms } => {
                     *greeted = true;
                     greeting = Some((fresh, up_for_ms));
-                    write_all(stream, &agent::sample(FENCE), limits).await?;
+                    write_all(stream, &agent::sample(FENCE), limits.stall_ms).await?;
                     None
                 }
                 Notice::Outcome { number, id, over, result } => fresh_notice(number, last_read)
@@ -161,23 +161,12 @@
     orders: Receiver<Vec<u8>>,
     limits: &Limits,
 ) -> io::Result<std::convert::Infallible> {
-    while let Ok(mut bytes) = orders.recv().await {
-        while let Ok(more) = orders.try_recv() {
-            bytes.extend_from_slice(&more);
-        }
-        write_all(stream, &bytes, limits).await?;
+    while let Some(bytes) = gather(&orders).await {
+        write_all(stream, &bytes, limits.stall_ms).await?;
     }
     Err(broken("no more orders are taken"))
 }
 
-pub async fn write_all(mut stream: &Async<TcpStream>, bytes: &[u8], limits: &Limits) -> io::Result<()> {
-    let stalled = async {
-        Timer::after(Duration::from_millis(limits.stall_ms)).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    future::or(stream.write_all(bytes), stalled).await
-}
-
 #[cfg(test)]
 mod tests {
     #[test]
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -14,10 +14,9 @@
 use plovershelf_codec::ledger::{self, Answer};
 use plovershelf_codec::TryId;
 
-use crate::agent::write_all;
-use crate::inflow::Inflow;
 use crate::limits::Limits;
 use crate::owner::Event;
+use crate::streams::{within, write_all, Inflow};
 
 pub enum Order {
     Call { id: TryId, within_ms: f64, body: Vec<u8> },
@@ -32,11 +31,7 @@
 ) {
     while let Ok(order) = orders.recv().await {
         let Order::Call { id, .. } = order else { continue };
-        let late = async {
-            Timer::after(Duration::from_millis(limits.connect_ms)).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        match future::or(Async::<TcpStream>::connect(address), late).await {
+        match within(limits.connect_ms, Async::<TcpStream>::connect(address)).await {
             Ok(stream) => {
                 let out = RefCell::new(BTreeSet::new());
                 if let Err(error) = converse(&stream, order, &orders, &out, &inbox, &limits).await {
@@ -87,7 +82,7 @@
                 }
                 next = orders.try_recv().ok();
             }
-            write_all(stream, &bytes, limits).await?;
+            write_all(stream, &bytes, limits.stall_ms).await?;
             let idle = async {
                 Timer::after(Duration::from_millis(limits.ledger_idle_ms)).await;
                 None
@@ -99,7 +94,7 @@
         }
     };
     let read = async {
-        let mut inflow = Inflow::new(limits.body_bytes + 2048, limits.read_bytes);
+        let mut inflow = Inflow::new(limits.line_bytes, limits.read_bytes);
         loop {
             let took = ledger::take(inflow.bytes(), limits.body_bytes).map_err(|b| io::Error::other(b.0))?;
             let Some((id, answer, used)) = took else {
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -12,10 +12,11 @@
     pub connections: usize,
     /// Invocations open on one connection.
     pub open_each: usize,
-    /// A frame of a sidecar and the body in it; what comes with a line of the agent or the ledger.
+    /// A frame of a sidecar and the body in it; what comes with a line of the agent or the ledger, and both.
     pub frame_bytes: usize,
     pub invocation_bytes: usize,
     pub body_bytes: usize,
+    pub line_bytes: usize,
     /// Bytes that one read takes.
     pub read_bytes: usize,
     /// What an open invocation takes beside its frame; all that they hold, all that waits to be written, and
@@ -65,6 +66,7 @@
             frame_bytes: 8 << 10,
             invocation_bytes: 2 << 10,
             body_bytes: 8 << 10,
+            line_bytes: 10 << 10,
             read_bytes: 4 << 10,
             open_overhead: 1 << 10,
             open_bytes: memory * 2 / 5,
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -1,7 +1,6 @@
 //! One backend on real sockets: starts the parts, hands them their queues, and waits for the end.
 
 mod agent;
-mod inflow;
 mod launch;
 mod ledger;
 mod limits;
@@ -9,6 +8,7 @@
 mod repeats;
 mod roster;
 mod sidecars;
+mod streams;
 
 use std::cell::Cell;
 use std::net::TcpListener;
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -86,7 +86,6 @@
     body: Range<usize>,
     /// The caller takes no answer any more, or has had it.
     answered: bool,
-    gone: bool,
     /// Place in the order of commands of its launch, if one was written; its run has been heard of.
     launched: Option<u64>,
     heard_of: bool,
@@ -120,7 +119,7 @@
     open: BTreeMap<u32, Open>,
     open_bytes: usize,
     by_try: BTreeMap<TryId, u32>,
-    next_id: u32,
+    last_id: u32,
     remembered: Remembered,
     /// Runs of repeats that ended with what they repeat, to be told to the module.
     ended: VecDeque<(u32, RunEnd)>,
@@ -168,7 +167,7 @@
             open: BTreeMap::new(),
             open_bytes: 0,
             by_try: BTreeMap::new(),
-            next_id: 1,
+            last_id: 0,
             remembered: Remembered::new(limits.remembered_bytes, limits.read_late_ms),
             ended: VecDeque::new(),
             agent: None,
@@ -266,10 +265,7 @@
                 self.connections.insert(connection, fresh);
             }
             Event::Frame { connection, frame } => self.read(connection, frame),
-            Event::Ended { connection, garbled: Some(what) } => {
-                self.complain(&format!("connection {connection}: {what}"));
-                self.deafen(connection);
-            }
+            Event::Ended { connection, garbled: Some(what) } => self.deafen(connection, what),
             Event::Ended { connection, garbled: None } => self.lost(connection),
             Event::Crowded { why } => self.crowded(&why),
             Event::Agent(said) => self.hear(said),
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -33,12 +33,10 @@
                 }
             }
             Said::Refused { command, about } => {
-                let about = String::from_utf8_lossy(&about).into_owned();
-                self.complain(&format!("the agent refused {command:?} for {about:?}"));
-                if let Ok(id) = TryId::try_from(about.as_bytes()) {
-                    if command == "launch" {
-                        self.run_over(id, RunOver::Nothing, Vec::new());
-                    }
+                let named = String::from_utf8_lossy(&about);
+                self.complain(&format!("the agent refused {command:?} for {named:?}"));
+                if let ("launch", Ok(id)) = (&command[..], TryId::try_from(&about[..])) {
+                    self.run_over(id, RunOver::Nothing, Vec::new());
                 }
             }
         }
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -19,17 +19,15 @@
         }
         match decoded {
             Ok(Message::Dispatch { seqid, invocation }) => {
-                let read = self.arrival(connection, &invocation);
-                let (id, body) = (invocation.id, invocation.body);
-                let from = body.as_ptr() as usize - frame.as_ptr() as usize;
-                let body = from..from + body.len();
-                if self.connections[&connection].open.contains_key(&seqid) {
+                if peer.open.contains_key(&seqid) {
                     // An exception would be a second answer to that number.
-                    self.complain(&format!("connection {connection}: sequence number {seqid} is in use"));
-                    self.deafen(connection);
+                    self.deafen(connection, "a sequence number is in use");
                     return;
                 }
-                match read {
+                let (id, body) = (invocation.id, invocation.body);
+                let from = body.as_ptr() as usize - frame.as_ptr() as usize;
+                let body = from..from + body.len();
+                match self.arrival(connection, &invocation) {
                     Ok(read) => self.take_in(connection, seqid, id, frame, body, read),
                     Err(what) => self.refuse(connection, seqid, "dispatch", Complaint::Internal, &what),
                 }
@@ -47,10 +45,7 @@
             Err(Fault::Refused { seqid, method, complaint, what }) => {
                 self.refuse(connection, seqid, &method, complaint, &what)
             }
-            Err(Fault::Garbled(what)) => {
-                self.complain(&format!("connection {connection}: {what}"));
-                self.deafen(connection);
-            }
+            Err(Fault::Garbled(what)) => self.deafen(connection, what),
         }
     }
 
@@ -116,11 +111,10 @@
             self.send(connection, front::dismissed(seqid, &Words::default()));
             return;
         }
-        while self.open.contains_key(&self.next_id) {
-            self.next_id = self.next_id.wrapping_add(1).max(1);
+        while arrival.id == 0 || self.open.contains_key(&arrival.id) {
+            self.last_id = self.last_id.wrapping_add(1);
+            arrival.id = self.last_id;
         }
-        arrival.id = self.next_id;
-        self.next_id = self.next_id.wrapping_add(1).max(1);
         self.open_bytes += bytes;
         self.by_try.insert(id, arrival.id);
         if let Some(peer) = self.connections.get_mut(&connection) {
@@ -134,7 +128,6 @@
             frame,
             body,
             answered: false,
-            gone: false,
             launched: None,
             heard_of: false,
             doubtful: false,
@@ -149,8 +142,6 @@
 
     /// The caller takes no answer any more.
     pub(super) fn gone(&mut self, id: u32) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.gone = true;
         self.close_answer(id);
         self.decide(|backend, now| backend.caller_gone(now, id));
     }
@@ -165,12 +156,17 @@
     }
 
     /// Nothing more is read from a connection; what is open on it is still answered.
-    pub(super) fn deafen(&mut self, connection: u64) {
+    pub(super) fn deafen(&mut self, connection: u64, why: &str) {
+        self.complain(&format!("connection {connection}: {why}"));
         let Some(peer) = self.connections.get_mut(&connection) else { return };
         peer.deaf = true;
-        let ends = peer.open.is_empty();
         self.tell_closing(connection);
-        if ends {
+        self.end_if_deaf(connection);
+    }
+
+    /// A connection that is read no more ends with its last answer.
+    pub(super) fn end_if_deaf(&mut self, connection: u64) {
+        if self.connections.get(&connection).is_some_and(|peer| peer.deaf && peer.open.is_empty()) {
             self.connections.remove(&connection);
         }
     }
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -4,7 +4,7 @@
 use plovershelf_codec::agent as commands;
 use plovershelf_codec::front::{self, Words};
 
-use super::{Connection, Due, Open, Owner, NEVER};
+use super::{Due, Open, Owner, NEVER};
 use crate::repeats::Repeated;
 
 impl Owner {
@@ -38,9 +38,7 @@
             (_, State::Joined) => self.join(id),
             (Some(from), State::Spent { ending, stop }) => {
                 self.drop_call(id, from);
-                if !matches!(from, State::Spent { .. }) {
-                    self.answer(id, ending);
-                }
+                self.answer(id, ending);
                 if stop {
                     self.command_for(id, commands::freeze);
                 }
@@ -48,9 +46,7 @@
             }
             (Some(from), State::Ended(ending)) => {
                 self.drop_call(id, from);
-                if !matches!(from, State::Spent { .. }) {
-                    self.answer(id, ending);
-                }
+                self.answer(id, ending);
                 self.forget(id);
             }
             _ => {}
@@ -65,6 +61,7 @@
         }
     }
 
+    /// Gives the final answer, if it has not been given.
     pub(super) fn answer(&mut self, id: u32, ending: Ending) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if open.answered {
@@ -84,10 +81,7 @@
         };
         self.close_answer(id);
         self.send(connection, frame);
-        let ends = |peer: &Connection| peer.deaf && peer.open.is_empty();
-        if self.connections.get(&connection).is_some_and(ends) {
-            self.connections.remove(&connection);
-        }
+        self.end_if_deaf(connection);
     }
 
     /// The caller is owed nothing any more.
--- a/crates/plovershelf-server/src/sidecars.rs
+++ b/crates/plovershelf-server/src/sidecars.rs
@@ -8,12 +8,11 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
 use plovershelf_codec::front;
 
-use crate::inflow::Inflow;
 use crate::limits::Limits;
 use crate::owner::Event;
+use crate::streams::{gather, write_all, Inflow};
 
 /// Frames on their way to one connection. Dropping it ends the connection when all of them are written.
 pub struct Outbox {
@@ -151,29 +150,21 @@
                 Ok(true) => {}
                 _ => return None,
             },
-            Err(front::Fault::Garbled(what)) => return Some(what),
-            Err(front::Fault::Refused { .. }) => return Some("not a frame"),
+            Err(what) => return Some(what),
         }
     }
 }
 
 /// Writes frames in order until there are no more or the peer takes none for too long.
 async fn write_frames(
-    mut stream: &Async<TcpStream>,
+    stream: &Async<TcpStream>,
     frames: Receiver<Vec<u8>>,
     unwritten: &Cell<usize>,
     all: &Cell<usize>,
     stall_ms: u64,
 ) {
-    while let Ok(mut bytes) = frames.recv().await {
-        while let Ok(more) = frames.try_recv() {
-            bytes.extend_from_slice(&more);
-        }
-        let stalled = async {
-            Timer::after(Duration::from_millis(stall_ms)).await;
-            Err(std::io::ErrorKind::TimedOut.into())
-        };
-        if future::or(stream.write_all(&bytes), stalled).await.is_err() {
+    while let Some(bytes) = gather(&frames).await {
+        if write_all(stream, &bytes, stall_ms).await.is_err() {
             return;
         }
         written(unwritten, all, bytes.len());
