SIGHUP moves the peers; the ledger gets a connection a call; beats every 250 ms

One ledger connection carried all calls (ledger.rs), so one spoilt answer ended all of them. Beats every 700 ms with a quarter lost drop a backend about once a minute.

--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -1,5 +1,7 @@
 //! The link with the agent that owns the cores: kept open, taken up again where it broke.
 
+use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -13,7 +15,7 @@
 
 use crate::limits::Limits;
 use crate::owner::Event;
-use crate::streams::{gather, write_all, Inflow};
+use crate::streams::{gather, within, write_all, Inflow};
 
 /// The tag of the sample that tells when all notices of before have been read. Others begin at 1.
 const FENCE: u64 = 0;
@@ -26,7 +28,10 @@
         up_for_ms: f64,
         orders: Sender<Vec<u8>>,
     },
-    Down,
+    /// There is no link; `all_read` where that is known of its commands.
+    Down {
+        all_read: bool,
+    },
     RunOver {
         id: TryId,
         over: RunOver,
@@ -46,29 +51,70 @@
     },
 }
 
-pub async fn keep_link(address: SocketAddr, inbox: Sender<Event>, limits: Rc<Limits>) {
+/// Keeps a link to where the agent is. `moved` tells that the address may have changed: then the new link is
+/// made before the old one is left.
+pub async fn keep_link(
+    address: Rc<Cell<SocketAddr>>,
+    moved: Receiver<()>,
+    inbox: Sender<Event>,
+    limits: Rc<Limits>,
+) {
     let mut last_read = 0;
     let mut rest_ms = limits.retry_first_ms;
+    let mut next = None;
     loop {
         let before = last_read;
         let mut greeted = false;
-        let ended = match Async::<TcpStream>::connect(address).await {
-            Ok(stream) => link(&stream, &mut last_read, &mut greeted, &inbox, &limits).await.err(),
-            Err(error) => {
-                tracing::debug!("connecting to the agent: {error}");
-                None
+        let stream = match next.take() {
+            Some(stream) => Ok(stream),
+            None => {
+                let _ = moved.try_recv();
+                connect(&address, &limits).await
+            }
+        };
+        let ended = match stream {
+            Ok(stream) => {
+                let successor = successor(&address, &moved, &limits);
+                link(&stream, successor, &mut last_read, &mut greeted, &inbox, &limits).await
             }
+            Err(error) => Err(io::Error::other(format!("connecting: {error}"))),
         };
         // Where nobody takes events any more, the program ends and the link with it.
-        if inbox.send(Event::Agent(Said::Down)).await.is_err() {
+        let all_read = ended.is_ok();
+        if inbox.send(Event::Agent(Said::Down { all_read })).await.is_err() {
             return;
         }
-        if let Some(error) = ended {
-            tracing::warn!("the agent's link ended after notice {last_read}: {error}");
+        match ended {
+            Ok(stream) => {
+                tracing::info!("the agent's link moves to {} after notice {last_read}", address.get());
+                next = Some(stream);
+            }
+            Err(error) => {
+                tracing::warn!("the agent's link ended after notice {last_read}: {error}");
+                let well = greeted || last_read > before;
+                rest_ms = if well { limits.retry_first_ms } else { rest_ms };
+                Timer::after(Duration::from_millis(rest_ms)).await;
+                rest_ms = (2 * rest_ms).min(limits.retry_most_ms);
+            }
         }
-        rest_ms = if greeted || last_read > before { limits.retry_first_ms } else { rest_ms };
-        Timer::after(Duration::from_millis(rest_ms)).await;
-        rest_ms = (2 * rest_ms).min(limits.retry_most_ms);
+    }
+}
+
+async fn connect(address: &Cell<SocketAddr>, limits: &Limits) -> io::Result<Async<TcpStream>> {
+    within(limits.connect_ms, Async::<TcpStream>::connect(address.get())).await
+}
+
+/// A connection to the agent's new address, once there is one.
+async fn successor(address: &Cell<SocketAddr>, moved: &Receiver<()>, limits: &Limits) -> Async<TcpStream> {
+    if moved.recv().await.is_err() {
+        future::pending::<()>().await;
+    }
+    loop {
+        match connect(address, limits).await {
+            Ok(stream) => return stream,
+            Err(error) => tracing::debug!("connecting to the agent's new address: {error}"),
+        }
+        Timer::after(Duration::from_millis(limits.retry_first_ms)).await;
     }
 }
 
@@ -76,19 +122,43 @@
     io::Error::other(what.into())
 }
 
-/// One link from its first line to its end, which is always an error.
+/// One link from its first line to its end: an error, or the connection that follows it, when all commands
+/// of this one have been read.
 async fn link(
     stream: &Async<TcpStream>,
+    successor: impl Future<Output = Async<TcpStream>>,
     last_read: &mut u64,
     greeted: &mut bool,
     inbox: &Sender<Event>,
     limits: &Limits,
-) -> io::Result<std::convert::Infallible> {
+) -> io::Result<Async<TcpStream>> {
     stream.get_ref().set_nodelay(true)?;
     let (sender, orders) = async_channel::bounded::<Vec<u8>>(limits.orders);
     // Before the agent is up it takes no command; before all that was missed has been read, none but the fence.
     write_all(stream, &agent::subscribe(*last_read), limits.stall_ms).await?;
-    let write = write_orders(stream, orders, limits);
+    let up = Cell::new(false);
+    let write = async {
+        while let Some(bytes) = gather(&orders).await {
+            write_all(stream, &bytes, limits.stall_ms).await?;
+        }
+        if up.get() {
+            write_all(stream, &agent::sample(FENCE), limits.stall_ms).await?;
+            Timer::after(Duration::from_millis(limits.handover_ms)).await;
+            return Err(broken("it did not say that it had read all before it was left"));
+        }
+        future::pending().await
+    };
+    let next = RefCell::new(None);
+    let follow = async {
+        let connected = successor.await;
+        *next.borrow_mut() = Some(connected);
+        orders.close();
+        // Nothing was written that could be lost.
+        if up.get() {
+            future::pending::<()>().await;
+        }
+        Ok(())
+    };
     let read = async {
         let mut inflow = Inflow::new(limits.line_bytes, limits.read_bytes);
         let mut greeting = None;
@@ -117,8 +187,10 @@
                     let tag = std::str::from_utf8(tag).ok().and_then(|tag| tag.parse().ok());
                     match (tag, greeting, sender.take()) {
                         (Some(FENCE), Some((fresh, up_for_ms)), Some(orders)) => {
+                            up.set(true);
                             Some(Said::Up { fresh, up_for_ms, orders })
                         }
+                        (Some(FENCE), ..) if orders.is_closed() => return Ok(()),
                         (Some(tag), _, again) => {
                             sender = again;
                             Some(Said::Sampled { tag, gauges })
@@ -141,7 +213,9 @@
             }
         }
     };
-    future::or(read, write).await
+    future::or(read, future::or(write, follow)).await?;
+    let next = next.take();
+    next.ok_or_else(|| broken("it ended unasked"))
 }
 
 /// Each notice counts once, however often it is told.
@@ -156,17 +230,6 @@
     true
 }
 
-async fn write_orders(
-    stream: &Async<TcpStream>,
-    orders: Receiver<Vec<u8>>,
-    limits: &Limits,
-) -> io::Result<std::convert::Infallible> {
-    while let Some(bytes) = gather(&orders).await {
-        write_all(stream, &bytes, limits.stall_ms).await?;
-    }
-    Err(broken("no more orders are taken"))
-}
-
 #[cfg(test)]
 mod tests {
     #[test]
--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -1,6 +1,9 @@
-//! What the program is told at its start: one JSON document that `RELAY_CONFIG` points to.
+//! What the program is told at its start: one JSON document that `RELAY_CONFIG` points to. It is read anew when
+//! the program is told that it was replaced; then only the addresses of its peers change.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use plovershelf_facts::Start;
 use serde_json::Value;
@@ -10,43 +13,109 @@
 pub struct Launch {
     pub name: String,
     pub listen: SocketAddr,
-    pub agent: SocketAddr,
-    pub roster: SocketAddr,
-    pub ledger: SocketAddr,
+    pub peers: Peers,
     /// From the notice to leave to the kill.
     pub stop_ms: f64,
     pub limits: Limits,
     pub start: Start,
+    /// The document itself, to tell later what has changed.
+    pub told: Value,
 }
 
+/// Where the peers are. All parts that talk to one look here.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    pub agent: Rc<Cell<SocketAddr>>,
+    pub roster: Rc<Cell<SocketAddr>>,
+    pub ledger: Rc<Cell<SocketAddr>>,
+}
+
+/// What can't change in a running program.
+const FIXED: [&str; 6] = ["name", "listen", "seed", "stop_ms", "limits", "settings"];
+
 pub fn from_environment() -> Result<Launch, String> {
-    let path = std::env::var_os("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path)
-        .map_err(|e| format!("RELAY_CONFIG {}: {e}", path.to_string_lossy()))?;
-    read(&text).map_err(|e| format!("RELAY_CONFIG {}: {e}", path.to_string_lossy()))
+    read_file().and_then(|top| read(&top)).map_err(|e| format!("RELAY_CONFIG {e}"))
 }
 
-pub fn read(text: &str) -> Result<Launch, String> {
-    let top: Value = serde_json::from_str(text).map_err(|e| format!("does not parse: {e}"))?;
-    let word = |key: &str| top[key].as_str().ok_or_else(|| format!("{key:?} is missing or no text"));
-    let address = |key: &str| word(key)?.parse().map_err(|e| format!("{key:?}: {e}"));
+fn read_file() -> Result<Value, String> {
+    let path = std::env::var_os("RELAY_CONFIG").ok_or("is not set")?;
+    let shown = path.to_string_lossy();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{shown}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{shown}: does not parse: {e}"))
+}
+
+fn word<'a>(top: &'a Value, key: &str) -> Result<&'a str, String> {
+    top[key].as_str().ok_or_else(|| format!("{key:?} is missing or no text"))
+}
+
+fn address(top: &Value, key: &str) -> Result<SocketAddr, String> {
+    word(top, key)?.parse().map_err(|e| format!("{key:?}: {e}"))
+}
+
+impl Peers {
+    fn read(top: &Value) -> Result<Self, String> {
+        let at = |key| Ok::<_, String>(Rc::new(Cell::new(address(top, key)?)));
+        Ok(Peers { agent: at("agent")?, roster: at("registry")?, ledger: at("records")? })
+    }
+
+    /// Takes the addresses of a document that replaced `before`, all of them or none. What else has changed
+    /// is named in the log and left.
+    fn move_to(&self, before: &Value, top: &Value) -> Result<(), String> {
+        let new = Peers::read(top)?;
+        for key in FIXED.iter().filter(|key| before[**key] != top[**key]) {
+            tracing::warn!("the new configuration changes {key:?}, which needs a restart");
+        }
+        self.agent.set(new.agent.get());
+        self.roster.set(new.roster.get());
+        self.ledger.set(new.ledger.get());
+        Ok(())
+    }
+}
+
+impl Launch {
+    /// Reads the file again; where it can't be used, all stays as it is.
+    pub fn read_again(peers: &Peers, before: &Value) {
+        match read_file().and_then(|top| peers.move_to(before, &top)) {
+            Ok(()) => tracing::info!("the configuration was read again"),
+            Err(error) => tracing::warn!("the new configuration is not used: {error}"),
+        }
+    }
+}
+
+pub fn read(top: &Value) -> Result<Launch, String> {
     let measure = |within: &Value, key: &str| {
         within[key].as_f64().filter(|v| *v > 0.0).ok_or_else(|| format!("{key:?} is missing or not above 0"))
     };
-    let name = word("name")?;
+    let name = word(top, "name")?;
     if name.is_empty() || name.contains(|c: char| c.is_whitespace() || c.is_control()) {
         return Err("\"name\" is not one word".into());
     }
-    let seed = u64::from_str_radix(word("seed")?, 16).map_err(|e| format!("\"seed\": {e}"))?;
+    let seed = u64::from_str_radix(word(top, "seed")?, 16).map_err(|e| format!("\"seed\": {e}"))?;
     let limits = &top["limits"];
     Ok(Launch {
         name: name.to_string(),
-        listen: address("listen")?,
-        agent: address("agent")?,
-        roster: address("registry")?,
-        ledger: address("records")?,
-        stop_ms: measure(&top, "stop_ms")?,
+        listen: address(top, "listen")?,
+        peers: Peers::read(top)?,
+        stop_ms: measure(top, "stop_ms")?,
         limits: Limits::of(measure(limits, "memory_mb")?, measure(limits, "sockets")? as usize),
         start: plovershelf_facts::read_value(&top["settings"], seed)?,
+        told: top.clone(),
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_new_document_moves_all_three_peers_or_none() {
+        let document = |agent: &str, port: u16| serde_json::json!({"agent": agent, "records": format!("127.0.0.1:{port}"), "registry": "127.0.0.1:3"});
+        let before = document("127.0.0.1:1", 2);
+        let peers = Peers::read(&before).expect("three addresses");
+        assert!(peers.move_to(&before, &document("nowhere", 9)).is_err());
+        assert_eq!((peers.agent.get().port(), peers.ledger.get().port()), (1, 2));
+        peers.move_to(&before, &document("127.0.0.1:7", 8)).expect("three addresses");
+        let ports = [&peers.agent, &peers.ledger, &peers.roster].map(|at| at.get().port());
+        assert_eq!(ports, [7, 8, 3]);
+    }
+}
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -1,13 +1,15 @@
-//! Calls to the ledger that all backends share: many on one connection, which is opened when one is due.
+//! Calls to the ledger that all backends share. Each of a few connections mostly carries one call at a time, so
+//! that one that goes bad costs no others; one that has gone bad is not used again.
 
-use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use plovershelf::interface::CallEnd;
@@ -16,79 +18,163 @@
 
 use crate::limits::Limits;
 use crate::owner::Event;
-use crate::streams::{within, write_all, Inflow};
+use crate::streams::{gather, within, write_all, Inflow};
 
 pub enum Order {
     Call { id: TryId, within_ms: f64, body: Vec<u8> },
     GiveUp { id: TryId },
 }
 
+/// What is shared with the task of one connection.
+#[derive(Default)]
+struct Carried {
+    /// Calls that are out and since when, and all that the connection has carried: a second copy of an answer
+    /// must not be taken for that to a later call of the same run.
+    out: BTreeMap<TryId, Instant>,
+    ever: BTreeSet<TryId>,
+    /// It takes no further calls.
+    retired: bool,
+    answered: Option<Instant>,
+}
+
+impl Carried {
+    fn idle_ms(&self) -> u64 {
+        self.answered.filter(|_| self.out.is_empty()).map_or(0, ms_since)
+    }
+}
+
+fn ms_since(then: Instant) -> u64 {
+    then.elapsed().as_millis() as u64
+}
+
+struct Line {
+    to: SocketAddr,
+    carried: Rc<RefCell<Carried>>,
+    lines: Sender<Vec<u8>>,
+}
+
+impl Line {
+    /// How many calls one more would stand beside, if it may take one for this id at all.
+    fn beside(&self, id: &TryId, to: SocketAddr, limits: &Limits) -> Option<usize> {
+        let carried = self.carried.borrow();
+        let stale = carried.idle_ms() >= limits.ledger_idle_ms;
+        let spent = carried.ever.len() >= limits.calls_a_connection || carried.ever.contains(id);
+        let fit = self.to == to && !carried.retired && !stale && !spent;
+        fit.then_some(carried.out.len())
+    }
+}
+
 pub async fn keep_calls(
-    address: SocketAddr,
+    executor: &LocalExecutor<'static>,
+    address: Rc<Cell<SocketAddr>>,
     orders: Receiver<Order>,
     inbox: Sender<Event>,
     limits: Rc<Limits>,
 ) {
+    let mut lines: Vec<Line> = Vec::new();
     while let Ok(order) = orders.recv().await {
-        let Order::Call { id, .. } = order else { continue };
-        match within(limits.connect_ms, Async::<TcpStream>::connect(address)).await {
-            Ok(stream) => {
-                let out = RefCell::new(BTreeSet::new());
-                if let Err(error) = converse(&stream, order, &orders, &out, &inbox, &limits).await {
-                    tracing::warn!("the ledger's connection broke in {} calls: {error}", out.borrow().len());
-                }
-                // What was out on a connection that broke proves nothing.
-                for id in out.take() {
-                    tell(&inbox, id, CallEnd::PerhapsRun, Vec::new()).await;
-                }
+        // One that takes no more calls ends with the last it has out.
+        let to = address.get();
+        lines.retain(|line| {
+            let carried = line.carried.borrow();
+            let over = line.to != to || carried.ever.len() >= limits.calls_a_connection;
+            !(carried.retired || over && carried.out.is_empty())
+        });
+        match order {
+            Order::Call { id, within_ms, body } => {
+                let free = lines.iter().filter_map(|line| Some((line.beside(&id, to, &limits)?, line)));
+                // The one that was used last, so that the others fall idle.
+                let best = free.min_by_key(|(beside, line)| (*beside, line.carried.borrow().idle_ms()));
+                let full = lines.len() >= limits.ledger_connections;
+                let line = match best {
+                    Some((beside, line)) if beside == 0 || full => line,
+                    _ => {
+                        let carried = Rc::new(RefCell::new(Carried::default()));
+                        let (sender, taken) = async_channel::unbounded();
+                        let talk = talk(to, carried.clone(), taken, inbox.clone(), limits.clone());
+                        executor.spawn(talk).detach();
+                        lines.push(Line { to, carried, lines: sender });
+                        &lines[lines.len() - 1]
+                    }
+                };
+                let mut carried = line.carried.borrow_mut();
+                carried.out.insert(id, Instant::now());
+                carried.ever.insert(id);
+                let _ = line.lines.try_send(ledger::call(&id, within_ms, &body));
             }
-            Err(error) => {
-                tracing::debug!("connecting to the ledger: {error}");
-                tell(&inbox, id, CallEnd::ProvenNotRun, Vec::new()).await;
+            Order::GiveUp { id } => {
+                let has = |line: &&Line| line.carried.borrow().out.contains_key(&id);
+                let Some(line) = lines.iter().find(has) else { continue };
+                let mut carried = line.carried.borrow_mut();
+                carried.out.remove(&id);
+                // Whether it would have answered is not known: when nothing else is out, it ends.
+                carried.retired |= carried.out.is_empty();
+                let _ = line.lines.try_send(ledger::give_up(&id));
             }
         }
     }
 }
 
-async fn tell(inbox: &Sender<Event>, id: TryId, end: CallEnd, reply: Vec<u8>) {
-    let _ = inbox.send(Event::CallOver { id, end, reply }).await;
+/// One connection from its first call until it goes bad, is spent, or has been idle for long enough.
+async fn talk(
+    to: SocketAddr,
+    carried: Rc<RefCell<Carried>>,
+    lines: Receiver<Vec<u8>>,
+    inbox: Sender<Event>,
+    limits: Rc<Limits>,
+) {
+    let (end, why) = match within(limits.connect_ms, Async::<TcpStream>::connect(to)).await {
+        // What was out on a connection that went bad proves nothing.
+        Ok(stream) => (CallEnd::PerhapsRun, converse(&stream, &carried, &lines, &inbox, &limits).await.err()),
+        Err(error) => (CallEnd::ProvenNotRun, Some(error)),
+    };
+    let out = {
+        let mut carried = carried.borrow_mut();
+        carried.retired = true;
+        std::mem::take(&mut carried.out)
+    };
+    if let Some(error) = why {
+        let _ =
+            inbox.send(Event::Odd(format!("a ledger's connection with {} calls: {error}", out.len()))).await;
+    }
+    for id in out.into_keys() {
+        let _ = inbox.send(Event::CallOver { id, end, reply: Vec::new() }).await;
+    }
 }
 
-/// One connection from its first call until it breaks or has been idle for long enough.
 async fn converse(
     stream: &Async<TcpStream>,
-    first: Order,
-    orders: &Receiver<Order>,
-    out: &RefCell<BTreeSet<TryId>>,
+    carried: &RefCell<Carried>,
+    lines: &Receiver<Vec<u8>>,
     inbox: &Sender<Event>,
     limits: &Limits,
 ) -> io::Result<()> {
     stream.get_ref().set_nodelay(true)?;
+    let over = || {
+        let carried = carried.borrow();
+        carried.out.is_empty() && (carried.retired || lines.is_closed())
+    };
     let write = async {
-        let mut next = Some(first);
+        while let Some(bytes) = gather(lines).await {
+            write_all(stream, &bytes, limits.stall_ms).await?;
+            if over() {
+                return Ok(());
+            }
+        }
+        // No more calls come; it ends with the last that is out.
+        if over() {
+            return Ok(());
+        }
+        future::pending().await
+    };
+    let watch = async {
         loop {
-            let mut bytes = Vec::new();
-            while let Some(order) = next {
-                match order {
-                    Order::Call { id, within_ms, body } => {
-                        out.borrow_mut().insert(id);
-                        bytes.extend(ledger::call(&id, within_ms, &body));
-                    }
-                    // A call that is over needs no giving up.
-                    Order::GiveUp { id } if out.borrow_mut().remove(&id) => {
-                        bytes.extend(ledger::give_up(&id));
-                    }
-                    Order::GiveUp { .. } => {}
-                }
-                next = orders.try_recv().ok();
+            Timer::after(Duration::from_millis(limits.watch_ms)).await;
+            let carried = carried.borrow();
+            if carried.out.values().any(|since| ms_since(*since) >= limits.ledger_silent_ms) {
+                return Err(io::Error::other("it is silent"));
             }
-            write_all(stream, &bytes, limits.stall_ms).await?;
-            let idle = async {
-                Timer::after(Duration::from_millis(limits.ledger_idle_ms)).await;
-                None
-            };
-            next = future::or(async { orders.recv().await.ok() }, idle).await;
-            if next.is_none() && (out.borrow().is_empty() || orders.is_closed()) {
+            if carried.idle_ms() >= limits.ledger_idle_ms {
                 return Ok(());
             }
         }
@@ -98,8 +184,12 @@
         loop {
             let took = ledger::take(inflow.bytes(), limits.body_bytes).map_err(|b| io::Error::other(b.0))?;
             let Some((id, answer, used)) = took else {
-                if !inflow.fill(stream).await? {
-                    let idle = out.borrow().is_empty();
+                // An answer that has begun comes whole at once, or never.
+                let begun = !inflow.bytes().is_empty();
+                let more = inflow.fill(stream);
+                let came = if begun { within(limits.part_ms, more).await } else { more.await };
+                if !came? {
+                    let idle = carried.borrow().out.is_empty();
                     return if idle { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
                 }
                 continue;
@@ -111,13 +201,21 @@
                 Answer::Past => (CallEnd::GivenUp, Vec::new()),
             };
             inflow.used(used);
-            // Answers to calls that were given up come too late to count.
-            if out.borrow_mut().remove(&id) {
-                tell(inbox, id, end, reply).await;
+            // Answers to calls that were given up come too late to count, as do second copies.
+            let counts = {
+                let mut carried = carried.borrow_mut();
+                carried.answered = Some(Instant::now());
+                carried.out.remove(&id).is_some()
+            };
+            if counts {
+                let _ = inbox.send(Event::CallOver { id, end, reply }).await;
+            }
+            if over() {
+                return Ok(());
             }
         }
     };
-    future::or(read, write).await
+    future::or(read, future::or(write, watch)).await
 }
 
 #[cfg(test)]
@@ -148,7 +246,8 @@
         let (events, inbox) = async_channel::bounded(4);
         let (calls, orders) = async_channel::bounded(4);
         let limits = Rc::new(Limits { ledger_idle_ms: 50, ..Limits::of(64.0, 64) });
-        let keep = keep_calls(address, orders, events, limits);
+        let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
+        let keep = keep_calls(executor, Rc::new(Cell::new(address)), orders, events, limits);
         let talk = async {
             let mut ends = Vec::new();
             for _ in 0..2 {
@@ -162,7 +261,7 @@
             calls.close();
             ends
         };
-        let (_, ends) = async_io::block_on(future::zip(keep, talk));
+        let (_, ends) = async_io::block_on(executor.run(future::zip(keep, talk)));
         assert_eq!(ends, [CallEnd::GivenUp, CallEnd::ProvenNotRun]);
         far.join().expect("both connections were let go");
     }
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -36,9 +36,20 @@
     pub retry_first_ms: u64,
     pub retry_most_ms: u64,
     pub connect_ms: u64,
-    /// The ledger closes what is idle for 10 s; this side does so earlier, so that no call crosses that.
+    /// Connections to the ledger, and calls that one carries in its life.
+    pub ledger_connections: usize,
+    pub calls_a_connection: usize,
+    /// The ledger may close or forget what is idle; this side lets go earlier, so that no call crosses that.
     pub ledger_idle_ms: u64,
+    /// A connection on which a call has been out for so long has gone bad, as has one whose answer stays in
+    /// part for so long; how often that is looked at.
+    pub ledger_silent_ms: u64,
+    pub part_ms: u64,
+    pub watch_ms: u64,
+    /// Listed as long as one beat arrives every 3 s: with a quarter lost, twelve in a row hardly ever are.
     pub beat_ms: u64,
+    /// A link that is left for another waits so long for the proof that its commands were read.
+    pub handover_ms: u64,
     /// A wake waits so long for its gauges.
     pub gauges_ms: f64,
     /// Entries of the memory of repeats outlive their span by this, for what is read late.
@@ -60,8 +71,12 @@
 impl Limits {
     pub fn of(memory_mb: f64, sockets: usize) -> Self {
         let memory = (memory_mb * 1024.0 * 1024.0) as usize;
+        let ledger_connections = (sockets / 16).clamp(2, 24);
         Limits {
-            connections: sockets.saturating_sub(RESERVED_SOCKETS).min(memory / CONNECTION_BYTES).max(4),
+            connections: sockets
+                .saturating_sub(RESERVED_SOCKETS + ledger_connections)
+                .min(memory / CONNECTION_BYTES)
+                .max(4),
             open_each: 32,
             frame_bytes: 8 << 10,
             invocation_bytes: 2 << 10,
@@ -79,8 +94,14 @@
             retry_first_ms: 10,
             retry_most_ms: 500,
             connect_ms: 1000,
-            ledger_idle_ms: 8000,
-            beat_ms: 700,
+            ledger_connections,
+            calls_a_connection: 200,
+            ledger_idle_ms: 400,
+            ledger_silent_ms: 600,
+            part_ms: 150,
+            watch_ms: 50,
+            beat_ms: 250,
+            handover_ms: 500,
             gauges_ms: 25.0,
             read_late_ms: 10_000.0,
             longest_wait_ms: 3_600_000.0,
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -24,10 +24,9 @@
 use launch::Launch;
 use owner::{Event, Owner};
 
-fn serve(launch: Launch) -> Result<(), String> {
+fn serve(mut signals: Signals, launch: Launch) -> Result<(), String> {
     let listener = Async::<TcpListener>::bind(launch.listen)
         .map_err(|e| format!("listening on {}: {e}", launch.listen))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     // Tasks start others on it, so it lives as long as the program.
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
     let limits = Rc::new(launch.limits);
@@ -35,20 +34,28 @@
     let (calls, orders) = async_channel::bounded(limits.orders);
     let (slots, leaving) = (Rc::new(()), Rc::new(Cell::new(false)));
 
-    let agent = agent::keep_link(launch.agent, events.clone(), limits.clone());
+    let (move_agent, agent_moved) = async_channel::bounded(1);
+    let Launch { peers, told, .. } = launch;
+    let agent = agent::keep_link(peers.agent.clone(), agent_moved, events.clone(), limits.clone());
     executor.spawn(agent).detach();
-    let ledger = ledger::keep_calls(launch.ledger, orders, events.clone(), limits.clone());
+    let ledger = ledger::keep_calls(executor, peers.ledger.clone(), orders, events.clone(), limits.clone());
     executor.spawn(ledger).detach();
     let every = Duration::from_millis(limits.beat_ms);
-    executor.spawn(roster::keep_listed(launch.roster, launch.name.clone(), leaving.clone(), every)).detach();
+    let roster = roster::keep_listed(peers.roster.clone(), launch.name.clone(), leaving.clone(), every);
+    executor.spawn(roster).detach();
     let accept = sidecars::accept(executor, listener, slots.clone(), events.clone(), limits.clone());
     let accepting = executor.spawn(accept);
-    let told = async move {
-        while signals.next().await.is_some() {
-            let _ = events.send(Event::Leave).await;
+    let obey = async move {
+        while let Some(signal) = signals.next().await {
+            if matches!(signal, Ok(Signal::Hup)) {
+                Launch::read_again(&peers, &told);
+                let _ = move_agent.try_send(());
+            } else {
+                let _ = events.send(Event::Leave).await;
+            }
         }
     };
-    executor.spawn(told).detach();
+    executor.spawn(obey).detach();
 
     tracing::info!("{} listens on {}", launch.name, launch.listen);
     let (start, stop_ms) = (launch.start, launch.stop_ms);
@@ -76,7 +83,9 @@
 fn main() -> ExitCode {
     let logs = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     logs.with_max_level(tracing::Level::INFO).init();
-    match launch::from_environment().and_then(serve) {
+    // From the first instant on, so that no signal ends the program by itself.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"));
+    match signals.and_then(|signals| serve(signals, launch::from_environment()?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("plovershelf-server: {message}");
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -46,6 +46,8 @@
         why: String,
     },
     Agent(Said),
+    /// A peer below did something wrong.
+    Odd(String),
     CallOver {
         id: TryId,
         end: CallEnd,
@@ -269,6 +271,7 @@
             Event::Ended { connection, garbled: None } => self.lost(connection),
             Event::Crowded { why } => self.crowded(&why),
             Event::Agent(said) => self.hear(said),
+            Event::Odd(what) => self.complain(&what),
             Event::CallOver { id, end, reply } => self.call_over(id, end, reply),
             Event::Leave => self.leave(),
         }
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -14,7 +14,10 @@
     pub(super) fn hear(&mut self, said: Said) {
         match said {
             Said::Up { fresh, up_for_ms, orders } => self.agent_up(fresh, up_for_ms, orders),
-            Said::Down => self.agent = None,
+            Said::Down { all_read } => {
+                self.agent = None;
+                self.commands_read = if all_read { self.commands } else { self.commands_read };
+            }
             Said::RunOver { id, over, result } => self.run_over(id, over, result),
             Said::WantsCall { id, call } => {
                 let Some(&id) = self.by_try.get(&id) else { return };
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -311,7 +311,7 @@
         stage.send(peer, dispatch(seqid, seqid as u64, offering, &[], b""));
     }
     stage.wants_call(4);
-    stage.agent(Said::Down);
+    stage.agent(Said::Down { all_read: false });
     stage.link_up();
     assert_eq!(stage.commands(), ["launch 0000000000000002 plain 0"]);
 }
@@ -320,7 +320,7 @@
 fn work_goes_on_without_the_agents_link_and_is_answered_in_time() {
     let mut stage = Stage::new();
     let peer = stage.connect();
-    stage.agent(Said::Down);
+    stage.agent(Said::Down { all_read: false });
     stage.send(peer, dispatch(1, 1, "plain", &[], b""));
     stage.send(peer, dispatch(2, 2, "single", &[("d", "500")], b""));
     stage.pass(600.0);
@@ -337,7 +337,7 @@
     let peer = stage.connect();
     stage.send(peer, dispatch(1, 1, "plain", &[], b""));
     stage.wants_call(1);
-    stage.agent(Said::Down);
+    stage.agent(Said::Down { all_read: false });
     stage.call_over(1, CallEnd::Ok);
     stage.link_up();
     assert_eq!(stage.commands(), ["deliver 0000000000000001 4"]);
--- a/crates/plovershelf-server/src/roster.rs
+++ b/crates/plovershelf-server/src/roster.rs
@@ -7,20 +7,30 @@
 
 use async_io::{Async, Timer};
 
-pub async fn keep_listed(address: SocketAddr, name: String, leaving: Rc<Cell<bool>>, every: Duration) {
-    let any: SocketAddr = if address.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+pub async fn keep_listed(
+    address: Rc<Cell<SocketAddr>>,
+    name: String,
+    leaving: Rc<Cell<bool>>,
+    every: Duration,
+) {
     loop {
+        let v4 = address.get().is_ipv4();
+        let any: SocketAddr = if v4 { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
         match Async::<UdpSocket>::bind(any) {
-            Ok(socket) => loop {
-                let beat = plovershelf_codec::roster::beat(&name, leaving.get());
-                // A beat that gets lost is made good by the next.
-                if let Err(error) = socket.send_to(&beat, address).await {
-                    tracing::debug!("reporting to the roster: {error}");
+            Ok(socket) => {
+                while address.get().is_ipv4() == v4 {
+                    let beat = plovershelf_codec::roster::beat(&name, leaving.get());
+                    // A beat that gets lost is made good by the next.
+                    if let Err(error) = socket.send_to(&beat, address.get()).await {
+                        tracing::debug!("reporting to the roster: {error}");
+                    }
+                    Timer::after(every).await;
                 }
+            }
+            Err(error) => {
+                tracing::warn!("no socket to report to the roster: {error}");
                 Timer::after(every).await;
-            },
-            Err(error) => tracing::warn!("no socket to report to the roster: {error}"),
+            }
         }
-        Timer::after(every).await;
     }
 }
--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -13,6 +13,8 @@
 /// A running backend with the listeners of those it talks to.
 struct Backend {
     child: Option<Child>,
+    configuration: PathBuf,
+    text: String,
     address: String,
     agent: TcpListener,
     ledger: TcpListener,
@@ -23,7 +25,7 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
-fn started_with(text: &str) -> Child {
+fn started_with(text: &str) -> (Child, PathBuf) {
     let number =
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_nanos();
     let path: PathBuf =
@@ -31,7 +33,7 @@
     std::fs::write(&path, text).expect("a file of its own");
     let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
     command.env("RELAY_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
-    command.spawn().expect("the program")
+    (command.spawn().expect("the program"), path)
 }
 
 impl Backend {
@@ -47,8 +49,8 @@
             ledger.local_addr().expect("an address"),
             roster.local_addr().expect("an address"),
         );
-        let child = Some(started_with(&text));
-        Backend { child, address, agent, ledger, roster }
+        let (child, configuration) = started_with(&text);
+        Backend { child: Some(child), configuration, text, address, agent, ledger, roster }
     }
 
     /// A backend whose agent is up, and the agent's side of the link.
@@ -84,9 +86,32 @@
         panic!("nothing listens")
     }
 
-    fn told_to_leave(&self) {
+    fn signal(&self, name: &str) {
         let id = self.child.as_ref().expect("it runs").id().to_string();
-        assert!(Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().expect("sh").success());
+        assert!(Command::new("sh")
+            .args(["-c", &format!("kill -{name} {id}")])
+            .status()
+            .expect("sh")
+            .success());
+    }
+
+    /// Replaces the configuration by one that names new peers; the old ones are handed back.
+    fn peers_move(&mut self) -> (TcpListener, TcpListener) {
+        let (agent, ledger) = (local(), local());
+        let roster = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        roster.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
+        let at = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
+        for (old, new) in [
+            (self.agent.local_addr(), agent.local_addr()),
+            (self.ledger.local_addr(), ledger.local_addr()),
+            (self.roster.local_addr(), roster.local_addr()),
+        ] {
+            self.text = self.text.replace(&at(old), &at(new));
+        }
+        std::fs::write(&self.configuration, &self.text).expect("a file of its own");
+        self.signal("HUP");
+        self.roster = roster;
+        (std::mem::replace(&mut self.agent, agent), std::mem::replace(&mut self.ledger, ledger))
     }
 
     fn end(mut self) -> Output {
@@ -192,6 +217,8 @@
     let mut ledger = Lines::accept(&backend.ledger);
     ledger.expect("OP 0000000000000002");
     ledger.say("0000000000000002 WAIT", None);
+    // A run's next call never goes where a second copy of its last answer might come.
+    let mut ledger = Lines::accept(&backend.ledger);
     ledger.expect("OP 0000000000000002");
     ledger.say("0000000000000002 DONE", Some(b"told"));
     agent.expect("deliver 0000000000000002");
@@ -244,7 +271,7 @@
     sidecar.send(&dispatch(2, 2, "plain", &[], b""));
     sidecar.send(&dispatch(3, 3, "plain", &[], b""));
     (0..2).for_each(|_| drop(agent.expect("launch")));
-    backend.told_to_leave();
+    backend.signal("TERM");
     assert_eq!(sidecar.hear(), Some(Heard::Closing));
     agent.say("outcome 2 0000000000000002 success 1", Some(b"x"));
     assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"x".to_vec())));
@@ -258,10 +285,47 @@
     assert_eq!(backend.end().status.code(), Some(0));
 }
 
+#[test]
+fn a_new_configuration_moves_all_peers_and_loses_nothing() {
+    let (mut backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(2, 2, "single", &[], b""));
+    sidecar.send(&dispatch(3, 3, "single", &[], b""));
+    (0..2).for_each(|_| drop(agent.expect("launch")));
+    agent.say("request 2 0000000000000002", Some(b"ask"));
+    let mut ledger = Lines::accept(&backend.ledger);
+    ledger.expect("OP 0000000000000002");
+    // What can't be read changes nothing, as often as it comes.
+    std::fs::write(&backend.configuration, "{").expect("a file of its own");
+    (0..3).for_each(|_| backend.signal("HUP"));
+    let _old = backend.peers_move();
+    // The old link is asked whether it has read all, and the new one begins where it ended.
+    let mut next = Lines::accept(&backend.agent);
+    assert_eq!(agent.next(), None);
+    next.expect("subscribe 2");
+    next.say("greeting steady 1000", None);
+    next.sampled();
+    // A call that is out is answered where it was placed; the next goes to the new address.
+    ledger.say("0000000000000002 DONE", Some(b"told"));
+    assert_eq!(next.expect("deliver 0000000000000002").1, b"told");
+    next.say("request 3 0000000000000003", Some(b"ask"));
+    let mut moved = Lines::accept(&backend.ledger);
+    moved.expect("OP 0000000000000003");
+    next.say("outcome 4 0000000000000002 success 9", Some(b"two"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"two".to_vec())));
+    let mut beat = [0; 64];
+    let length = backend.roster.recv(&mut beat).expect("a beat");
+    assert_eq!(&beat[..length], b"BEAT n1 ready");
+    backend.signal("TERM");
+    backend.signal("HUP");
+    drop(sidecar);
+    assert_eq!(backend.end().status.code(), Some(0));
+}
+
 #[test]
 fn a_start_that_is_told_nothing_or_nonsense_ends_with_one_line() {
     for (text, named) in [("{", "parse"), ("{}", "name"), (r#"{"name": "n1", "seed": "x"}"#, "seed")] {
-        let output = started_with(text).wait_with_output().expect("its end");
+        let output = started_with(text).0.wait_with_output().expect("its end");
         let said = String::from_utf8(output.stderr).expect("text");
         assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
         assert!(said.contains(named), "{said}");
