--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -21,16 +21,31 @@
 use crate::streams::{gather, within, write_all, Inflow};
 
 pub enum Order {
-    Call { id: TryId, within_ms: f64, body: Vec<u8> },
+    Call { id: TryId, number: u64, within_ms: f64, body: Vec<u8> },
     GiveUp { id: TryId },
 }
 
+/// How the call of a number came to its end.
+pub struct CallOver {
+    pub number: u64,
+    pub end: CallEnd,
+    /// False where the ledger knows of no run that waits for it.
+    pub wanted: bool,
+    pub reply: Vec<u8>,
+}
+
+impl CallOver {
+    pub fn without(number: u64, end: CallEnd) -> Self {
+        CallOver { number, end, wanted: true, reply: Vec::new() }
+    }
+}
+
 /// What is shared with the task of one connection.
 #[derive(Default)]
 struct Carried {
     /// Calls that are out and since when, and all that the connection has carried: a second copy of an answer
     /// must not be taken for that to a later call of the same run.
-    out: BTreeMap<TryId, Instant>,
+    out: BTreeMap<TryId, (u64, Instant)>,
     ever: BTreeSet<TryId>,
     /// It takes no further calls.
     retired: bool,
@@ -81,7 +96,7 @@
             !(carried.retired || over && carried.out.is_empty())
         });
         match order {
-            Order::Call { id, within_ms, body } => {
+            Order::Call { id, number, within_ms, body } => {
                 let free = lines.iter().filter_map(|line| Some((line.beside(&id, to, &limits)?, line)));
                 // The one that was used last, so that the others fall idle.
                 let best = free.min_by_key(|(beside, line)| (*beside, line.carried.borrow().idle_ms()));
@@ -98,7 +113,7 @@
                     }
                 };
                 let mut carried = line.carried.borrow_mut();
-                carried.out.insert(id, Instant::now());
+                carried.out.insert(id, (number, Instant::now()));
                 carried.ever.insert(id);
                 let _ = line.lines.try_send(ledger::call(&id, within_ms, &body));
             }
@@ -137,8 +152,8 @@
         let _ =
             inbox.send(Event::Odd(format!("a ledger's connection with {} calls: {error}", out.len()))).await;
     }
-    for id in out.into_keys() {
-        let _ = inbox.send(Event::CallOver { id, end, reply: Vec::new() }).await;
+    for (id, (number, _)) in out {
+        let _ = inbox.send(Event::CallOver { id, over: CallOver::without(number, end) }).await;
     }
 }
 
@@ -171,7 +186,7 @@
         loop {
             Timer::after(Duration::from_millis(limits.watch_ms)).await;
             let carried = carried.borrow();
-            if carried.out.values().any(|since| ms_since(*since) >= limits.ledger_silent_ms) {
+            if carried.out.values().any(|(_, since)| ms_since(*since) >= limits.ledger_silent_ms) {
                 return Err(io::Error::other("it is silent"));
             }
             if carried.idle_ms() >= limits.ledger_idle_ms {
@@ -194,6 +209,7 @@
                 }
                 continue;
             };
+            let wanted = answer != Answer::Empty;
             let (end, reply) = match answer {
                 Answer::Done(reply) => (CallEnd::Ok, reply.to_vec()),
                 Answer::Wait | Answer::Empty => (CallEnd::ProvenNotRun, Vec::new()),
@@ -205,10 +221,11 @@
             let counts = {
                 let mut carried = carried.borrow_mut();
                 carried.answered = Some(Instant::now());
-                carried.out.remove(&id).is_some()
+                carried.out.remove(&id)
             };
-            if counts {
-                let _ = inbox.send(Event::CallOver { id, end, reply }).await;
+            if let Some((number, _)) = counts {
+                let over = CallOver { number, end, wanted, reply };
+                let _ = inbox.send(Event::CallOver { id, over }).await;
             }
             if over() {
                 return Ok(());
@@ -223,45 +240,89 @@
     use super::*;
     use std::io::{BufRead, BufReader, Write};
 
-    /// Answers one line on the next connection, then waits for its end.
-    fn answer_once(listener: &std::net::TcpListener, answer: &str) {
+    /// A connection on which one call has been read, and the id of that.
+    fn called(listener: &std::net::TcpListener) -> (BufReader<TcpStream>, String) {
         let mut reader = BufReader::new(listener.accept().expect("a connection").0);
         let mut lines = String::new();
         for _ in 0..2 {
             reader.read_line(&mut lines).expect("a line");
         }
+        (reader, lines[3..19].into())
+    }
+
+    /// Answers the call, then waits for the connection's end.
+    fn answer((mut reader, id): (BufReader<TcpStream>, String), answer: &str) {
+        let answer = answer.replace("ID", &id);
         reader.get_mut().write_all(answer.as_bytes()).expect("it is taken");
-        while reader.read_line(&mut lines).expect("a line or the end") > 0 {}
+        let mut lines = String::new();
+        while reader.read_line(&mut lines).is_ok_and(|count| count > 0) {}
     }
 
-    #[test]
-    fn a_connection_is_let_go_when_idle_and_opened_for_the_next_call() {
-        let id = *b"9b1f03aa5c7e2d41";
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    /// Places calls of these ids at once, and hands back how they ended.
+    fn ends_of(ids: &[TryId], listener: &std::net::TcpListener) -> BTreeMap<TryId, CallEnd> {
         let address = listener.local_addr().expect("an address");
-        let far = std::thread::spawn(move || {
-            answer_once(&listener, "9b1f03aa5c7e2d41 PAST\r\n");
-            answer_once(&listener, "9b1f03aa5c7e2d41 EMPTY\r\n");
-        });
-        let (events, inbox) = async_channel::bounded(4);
-        let (calls, orders) = async_channel::bounded(4);
-        let limits = Rc::new(Limits { ledger_idle_ms: 50, ..Limits::of(64.0, 64) });
+        let (events, inbox) = async_channel::bounded(64);
+        let (calls, orders) = async_channel::bounded(64);
+        let limits = Rc::new(Limits { ledger_idle_ms: 50, ..Limits::of(64.0, 512) });
         let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
         let keep = keep_calls(executor, Rc::new(Cell::new(address)), orders, events, limits);
         let talk = async {
-            let mut ends = Vec::new();
-            for _ in 0..2 {
-                let body = b"ask".to_vec();
-                calls.send(Order::Call { id, within_ms: 1000.0, body }).await.expect("it is taken");
-                if let Ok(Event::CallOver { end, .. }) = inbox.recv().await {
-                    ends.push(end);
+            for id in ids {
+                let order = Order::Call { id: *id, number: 1, within_ms: 1000.0, body: b"ask".to_vec() };
+                calls.send(order).await.expect("it is taken");
+            }
+            let mut ends = BTreeMap::new();
+            while ends.len() < ids.len() {
+                if let Ok(Event::CallOver { id, over }) = inbox.recv().await {
+                    ends.insert(id, over.end);
                 }
-                Timer::after(Duration::from_millis(200)).await;
             }
+            Timer::after(Duration::from_millis(200)).await;
             calls.close();
             ends
         };
-        let (_, ends) = async_io::block_on(executor.run(future::zip(keep, talk)));
+        async_io::block_on(executor.run(future::zip(keep, talk))).1
+    }
+
+    #[test]
+    fn a_spoilt_answer_costs_its_own_call_only() {
+        let spoilt = [
+            "\0\x7f\r\n".to_string(),
+            "x".repeat(5000),
+            "ID DONE 3000000000\r\nand on and on".into(),
+            "ID DONE -1\r\n".into(),
+            "ID DONE 9\r\nshort".into(),
+            String::new(),
+        ];
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let ids: Vec<TryId> = (0..8).map(|n| format!("{n:016}").into_bytes().try_into().unwrap()).collect();
+        let far = listener.try_clone().expect("the same");
+        let far = std::thread::spawn(move || {
+            let lines: Vec<_> = (0..8).map(|_| called(&far)).collect();
+            std::thread::scope(|scope| {
+                for (place, line) in lines.into_iter().enumerate() {
+                    let well = "00000000000000ff PAST\r\nID DONE 1\r\nx\r\nID WAIT\r\n".to_string();
+                    let said = spoilt.get(place).cloned().unwrap_or(well);
+                    scope.spawn(move || answer(line, &said));
+                }
+            });
+        });
+        let ends = ends_of(&ids, &listener);
+        let well = ends.iter().filter(|(_, end)| **end == CallEnd::Ok).count();
+        assert_eq!((well, ends.values().filter(|end| **end == CallEnd::PerhapsRun).count()), (2, 6));
+        far.join().expect("all were let go");
+    }
+
+    #[test]
+    fn a_connection_is_let_go_when_idle_and_opened_for_the_next_call() {
+        let id = *b"9b1f03aa5c7e2d41";
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let far = listener.try_clone().expect("the same");
+        let far = std::thread::spawn(move || {
+            answer(called(&far), "ID PAST\r\n");
+            answer(called(&far), "ID EMPTY\r\n");
+        });
+        let ends = [0, 1].map(|_| ends_of(&[id], &listener)[&id]);
         assert_eq!(ends, [CallEnd::GivenUp, CallEnd::ProvenNotRun]);
         far.join().expect("both connections were let go");
     }
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -30,6 +30,18 @@
     /// Places in the queue to the owner, and in the ones from it.
     pub events: usize,
     pub orders: usize,
+    /// A connection's first message, and the rest of each frame that has begun, come whole within this.
+    pub whole_ms: u64,
+    /// A connection that was refused is still read for so long and so much, that its peer hears of it.
+    pub linger_ms: u64,
+    pub linger_bytes: usize,
+    /// From this many connections on, those that have said nothing yet make room.
+    pub crowd: usize,
+    pub silent_ms: f64,
+    /// Faults that end a connection, where they may be another's.
+    pub faults: u32,
+    /// Arrivals are no older than this.
+    pub oldest_ms: f64,
     /// A peer that takes nothing for so long is given up.
     pub stall_ms: u64,
     /// Between tries to connect, at first and at most.
@@ -72,11 +84,10 @@
     pub fn of(memory_mb: f64, sockets: usize) -> Self {
         let memory = (memory_mb * 1024.0 * 1024.0) as usize;
         let ledger_connections = (sockets / 16).clamp(2, 24);
+        let reserved = RESERVED_SOCKETS + ledger_connections;
+        let connections = sockets.saturating_sub(reserved).min(memory / CONNECTION_BYTES).max(4);
         Limits {
-            connections: sockets
-                .saturating_sub(RESERVED_SOCKETS + ledger_connections)
-                .min(memory / CONNECTION_BYTES)
-                .max(4),
+            connections,
             open_each: 32,
             frame_bytes: 8 << 10,
             invocation_bytes: 2 << 10,
@@ -90,6 +101,13 @@
             remembered_bytes: memory / 10,
             events: 256,
             orders: 4096,
+            whole_ms: 2200,
+            linger_ms: 300,
+            linger_bytes: 256 << 10,
+            crowd: connections * 3 / 4,
+            silent_ms: 250.0,
+            faults: 16,
+            oldest_ms: 60_000.0,
             stall_ms: 10_000,
             retry_first_ms: 10,
             retry_most_ms: 500,
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -15,13 +15,13 @@
 use async_executor::Task;
 use async_io::Timer;
 use futures_lite::future;
-use plovershelf::interface::{CallEnd, Gauges, Outcome, RunEnd, Wake};
+use plovershelf::interface::{Gauges, Outcome, RunEnd, Wake};
 use plovershelf::logic::Backend;
 use plovershelf_codec::TryId;
 use plovershelf_facts::Start;
 
 use crate::agent::Said;
-use crate::ledger::Order;
+use crate::ledger::{CallOver, Order};
 use crate::limits::Limits;
 use crate::repeats::{Mark, Remembered};
 use crate::sidecars::Outbox;
@@ -50,8 +50,7 @@
     Odd(String),
     CallOver {
         id: TryId,
-        end: CallEnd,
-        reply: Vec<u8>,
+        over: CallOver,
     },
     Leave,
 }
@@ -73,8 +72,9 @@
     open: BTreeMap<i32, u32>,
     idle_since: f64,
     closing_since: Option<f64>,
-    /// Nothing more is read from it; it ends with its last answer.
-    deaf: bool,
+    /// It has sent a message that could be read; what it did wrong where that may be another's fault.
+    spoke: bool,
+    faults: u32,
 }
 
 /// An invocation from its reading until nothing of it is left below.
@@ -93,14 +93,22 @@
     heard_of: bool,
     /// A link broke before the agent had surely read the launch, and it was not written anew.
     doubtful: bool,
-    /// What its run asks of the ledger, and a reply that no link took yet.
+    /// What its run asks of the ledger, the number of the call that is out for it, and a reply that no link took
+    /// yet.
     call: Vec<u8>,
+    call_number: u64,
     undelivered: Option<Vec<u8>>,
+    /// Place in the order of commands of the last reply, until its run is heard of again.
+    delivered: Option<u64>,
+    /// The call was placed anew, as its reply may be lost: whether the run still waits is asked with it, and a
+    /// reply to it that waits for the answer to the sample of this place.
+    asked_again: bool,
+    proving: Option<(u64, Vec<u8>)>,
     result: Vec<u8>,
     mark: Option<Mark>,
 }
 
-/// The place of a launch that no link has taken.
+/// The place of a launch that no link has taken; the number of no call.
 const NEVER: u64 = 0;
 
 pub struct Owner {
@@ -130,6 +138,7 @@
     /// order, so its answer proves that all before it were read.
     commands: u64,
     commands_read: u64,
+    calls: u64,
     gauges_for: Option<u64>,
     advice: Option<f64>,
     fit: bool,
@@ -175,6 +184,7 @@
             agent: None,
             commands: 0,
             commands_read: 0,
+            calls: 0,
             gauges_for: None,
             advice: None,
             fit: true,
@@ -262,9 +272,13 @@
                     open: BTreeMap::new(),
                     idle_since,
                     closing_since: None,
-                    deaf: false,
+                    spoke: false,
+                    faults: 0,
                 };
                 self.connections.insert(connection, fresh);
+                if self.connections.len() > self.limits.crowd {
+                    self.drop_silent();
+                }
             }
             Event::Frame { connection, frame } => self.read(connection, frame),
             Event::Ended { connection, garbled: Some(what) } => self.deafen(connection, what),
@@ -272,7 +286,7 @@
             Event::Crowded { why } => self.crowded(&why),
             Event::Agent(said) => self.hear(said),
             Event::Odd(what) => self.complain(&what),
-            Event::CallOver { id, end, reply } => self.call_over(id, end, reply),
+            Event::CallOver { id, over } => self.call_over(id, over),
             Event::Leave => self.leave(),
         }
     }
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -1,14 +1,14 @@
 //! The owner's side of the agent and the ledger: commands and calls to them, and what they answer.
 
 use async_channel::Sender;
-use plovershelf::interface::{CallEnd, Gauges, Repeats, RunEnd, State, Wake};
+use plovershelf::interface::{CallEnd, Gauges, Repeats, RunEnd, Wake};
 use plovershelf::logic::Backend;
 use plovershelf_codec::agent::{self as commands, RunOver};
 use plovershelf_codec::TryId;
 
-use super::{Due, Owner, NEVER};
+use super::{Due, Open, Owner, NEVER};
 use crate::agent::Said;
-use crate::ledger::Order;
+use crate::ledger::{CallOver, Order};
 
 impl Owner {
     pub(super) fn hear(&mut self, said: Said) {
@@ -21,14 +21,21 @@
             Said::RunOver { id, over, result } => self.run_over(id, over, result),
             Said::WantsCall { id, call } => {
                 let Some(&id) = self.by_try.get(&id) else { return };
+                // The call that was placed anew is not the one that the run waits for.
+                if self.open.get(&id).is_some_and(|open| open.asked_again && open.call_number != NEVER) {
+                    self.give_up_call(id);
+                    self.decide(|backend, now| backend.call_ended(now, id, CallEnd::ProvenNotRun));
+                }
                 if let Some(open) = self.open.get_mut(&id) {
                     (open.heard_of, open.doubtful) = (true, false);
+                    (open.delivered, open.asked_again, open.proving) = (None, false, None);
                     open.call = call;
                 }
                 self.decide(|backend, now| backend.wants_call(now, id));
             }
             Said::Sampled { tag, gauges } => {
                 self.commands_read = self.commands_read.max(tag.min(self.commands));
+                self.deliver_proven();
                 if self.gauges_for == Some(tag) {
                     self.gauges_for = None;
                     let gauges = self.start.gauges(gauges);
@@ -39,7 +46,13 @@
                 let named = String::from_utf8_lossy(&about);
                 self.complain(&format!("the agent refused {command:?} for {named:?}"));
                 if let ("launch", Ok(id)) = (&command[..], TryId::try_from(&about[..])) {
+                    // No sidecar sends what the agent does not know.
+                    let known = self.by_try.get(&id).and_then(|id| self.open.get(id));
+                    let connection = known.filter(|open| !open.answered).map(|open| open.connection);
                     self.run_over(id, RunOver::Nothing, Vec::new());
+                    if let Some(connection) = connection {
+                        self.deafen(connection, "the agent knows nothing of what it sends");
+                    }
                 }
             }
         }
@@ -62,11 +75,17 @@
         }
         // Launches that the last link may have lost. For a run that is under way a second launch does nothing,
         // but one that just came to its end would run again: work that may run once only stays in doubt.
-        let (mut again, mut late) = (Vec::new(), Vec::new());
+        let (mut again, mut late, mut unanswered) = (Vec::new(), Vec::new(), Vec::new());
         for (id, open) in &mut self.open {
+            // A reply that may be lost: whether its run still waits for it the ledger knows.
+            let waits = open.delivered.is_some_and(|at| at > self.commands_read) || open.proving.is_some();
+            let repeats = self.start.facts.offerings[open.offering].repeats;
+            if waits && !open.answered && repeats == Repeats::Rerunnable {
+                (open.delivered, open.proving, open.asked_again) = (None, None, true);
+                unanswered.push(*id);
+            }
             let lost = open.launched == Some(NEVER);
             let unsure = open.launched.is_some_and(|at| at > self.commands_read) && !open.heard_of;
-            let repeats = self.start.facts.offerings[open.offering].repeats;
             if lost || (unsure && repeats == Repeats::Rerunnable) {
                 again.push(*id);
             }
@@ -78,6 +97,19 @@
         tracing::info!("the agent's link is back, {} launches are written anew", again.len());
         again.into_iter().for_each(|id| self.launch(id));
         late.into_iter().for_each(|(id, reply)| self.deliver(id, reply));
+        unanswered.into_iter().for_each(|id| self.decide(|backend, now| backend.wants_call(now, id)));
+    }
+
+    /// Replies to calls that were placed anew go to runs of which nothing was heard up to a sample behind them:
+    /// so they wait for this reply and for no later one.
+    fn deliver_proven(&mut self) {
+        let read = self.commands_read;
+        let proven = |open: &Open| open.proving.as_ref().is_some_and(|(at, _)| *at <= read);
+        let ids: Vec<u32> = self.open.iter().filter(|(_, open)| proven(open)).map(|(id, _)| *id).collect();
+        for id in ids {
+            let proving = self.open.get_mut(&id).and_then(|open| open.proving.take());
+            proving.into_iter().for_each(|(_, reply)| self.deliver(id, reply));
+        }
     }
 
     /// Writes a command; tells its place in the order, or `None` while there is no link.
@@ -112,11 +144,10 @@
 
     pub(super) fn deliver(&mut self, id: u32, reply: Vec<u8>) {
         let Some(open) = self.open.get(&id) else { return };
-        if self.command(commands::deliver(&open.id, &reply)).is_none() {
-            if let Some(open) = self.open.get_mut(&id) {
-                open.undelivered = Some(reply);
-            }
-        }
+        let place = self.command(commands::deliver(&open.id, &reply));
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.delivered = place;
+        open.undelivered = place.is_none().then_some(reply);
     }
 
     pub(super) fn run_over(&mut self, id: TryId, over: RunOver, result: Vec<u8>) {
@@ -155,28 +186,53 @@
     }
 
     pub(super) fn place_call(&mut self, id: u32, within_ms: f64) {
-        let Some(open) = self.open.get(&id) else { return };
-        let order = Order::Call { id: open.id, within_ms, body: open.call.clone() };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        self.calls += 1;
+        let (id, number) = (open.id, self.calls);
+        open.call_number = number;
+        let order = Order::Call { id, number, within_ms, body: open.call.clone() };
         if self.ledger.try_send(order).is_err() {
-            let id = open.id;
             self.complain("the queue to the ledger is full");
-            self.call_over(id, CallEnd::ProvenNotRun, Vec::new());
+            self.call_over(id, CallOver::without(number, CallEnd::ProvenNotRun));
         }
     }
 
     /// Gives a call up that nobody waits for any more.
-    pub(super) fn drop_call(&mut self, id: u32, from: State) {
-        if let (State::Calling { .. }, Some(open)) = (from, self.open.get(&id)) {
-            if self.ledger.try_send(Order::GiveUp { id: open.id }).is_err() {
+    pub(super) fn give_up_call(&mut self, id: u32) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if std::mem::replace(&mut open.call_number, NEVER) != NEVER {
+            let order = Order::GiveUp { id: open.id };
+            if self.ledger.try_send(order).is_err() {
                 self.complain("the queue to the ledger is full");
             }
         }
     }
 
-    pub(super) fn call_over(&mut self, id: TryId, end: CallEnd, reply: Vec<u8>) {
+    pub(super) fn call_over(&mut self, id: TryId, over: CallOver) {
+        let CallOver { number, end, wanted, reply } = over;
         let Some(&id) = self.by_try.get(&id) else { return };
-        if end == CallEnd::Ok && self.open.get(&id).is_some_and(|open| !open.answered) {
-            self.deliver(id, reply);
+        let Some(open) = self.open.get_mut(&id).filter(|open| open.call_number == number) else { return };
+        open.call_number = NEVER;
+        let end = match (end, open.asked_again, wanted) {
+            // No run waits: the reply of before has reached it.
+            (_, true, false) => CallEnd::Ok,
+            (CallEnd::Ok, true, _) => {
+                let place = self.command(commands::sample(self.commands + 1)).unwrap_or(u64::MAX);
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.proving = Some((place, reply));
+                }
+                CallEnd::Ok
+            }
+            (CallEnd::Ok, ..) => {
+                if !open.answered {
+                    self.deliver(id, reply);
+                }
+                CallEnd::Ok
+            }
+            (other, ..) => other,
+        };
+        if let Some(open) = self.open.get_mut(&id).filter(|_| end == CallEnd::Ok) {
+            open.asked_again = false;
         }
         self.decide(|backend, now| backend.call_ended(now, id, end));
     }
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -6,16 +6,21 @@
 use plovershelf_codec::front::{self, Complaint, Fault, Message, Words};
 use plovershelf_codec::TryId;
 
-use super::{Open, Owner};
+use super::{Connection, Open, Owner, NEVER};
 use crate::repeats::Mark;
 use crate::sidecars::Unwritten;
 
+const ID_IN_USE: &str = "the id is in use";
+const NOT_STARTED: &str = "not started yet";
+
 impl Owner {
     pub(super) fn read(&mut self, connection: u64, frame: Vec<u8>) {
-        let Some(peer) = self.connections.get_mut(&connection).filter(|peer| !peer.deaf) else { return };
+        let Some(peer) = self.connections.get_mut(&connection).filter(|peer| !peer.outbox.is_deaf()) else {
+            return;
+        };
         let decoded = front::decode(&frame);
         if decoded.is_ok() {
-            peer.idle_since = self.now;
+            (peer.idle_since, peer.spoke) = (self.now, true);
         }
         match decoded {
             Ok(Message::Dispatch { seqid, invocation }) => {
@@ -29,7 +34,10 @@
                 let body = from..from + body.len();
                 match self.arrival(connection, &invocation) {
                     Ok(read) => self.take_in(connection, seqid, id, frame, body, read),
-                    Err(what) => self.refuse(connection, seqid, "dispatch", Complaint::Internal, &what),
+                    Err(what) => {
+                        self.refuse(connection, seqid, "dispatch", Complaint::Internal, &what);
+                        self.at_fault(connection, &what);
+                    }
                 }
             }
             Ok(Message::Cancel { seqid }) => {
@@ -43,7 +51,8 @@
             }
             Ok(Message::Other) => self.complain("a message that is not known"),
             Err(Fault::Refused { seqid, method, complaint, what }) => {
-                self.refuse(connection, seqid, &method, complaint, &what)
+                self.refuse(connection, seqid, &method, complaint, &what);
+                self.at_fault(connection, &what);
             }
             Err(Fault::Garbled(what)) => self.deafen(connection, what),
         }
@@ -69,10 +78,15 @@
             return Err("the body is too long".into());
         }
         if self.by_try.contains_key(&read.id) {
-            return Err("the id is in use".into());
+            return Err(ID_IN_USE.into());
         }
         if self.backend.is_none() {
-            return Err("not started yet".into());
+            return Err(NOT_STARTED.into());
+        }
+        // A figure that can't be is kept from the module, whose measure of waits unread it would spoil.
+        let oldest = self.now - self.limits.oldest_ms;
+        if !(oldest..=self.now + self.limits.oldest_ms).contains(&read.came_ms) {
+            return Err("field \"s\" is out of bounds".into());
         }
         let came = read.came_ms.min(self.now);
         let terms = &self.start.facts.offerings[offering];
@@ -132,7 +146,11 @@
             heard_of: false,
             doubtful: false,
             call: Vec::new(),
+            call_number: NEVER,
             undelivered: None,
+            delivered: None,
+            asked_again: false,
+            proving: None,
             result: Vec::new(),
             mark,
         };
@@ -155,18 +173,38 @@
         }
     }
 
+    /// One that sends what no sidecar would is read no more; what may be another's fault has to come often.
+    fn at_fault(&mut self, connection: u64, what: &str) {
+        let Some(peer) = self.connections.get_mut(&connection) else { return };
+        peer.faults += if matches!(what, ID_IN_USE | NOT_STARTED) { 1 } else { self.limits.faults };
+        if peer.faults >= self.limits.faults {
+            self.deafen(connection, "it is not a sidecar's");
+        }
+    }
+
+    /// Of connections that have said nothing the one that came first makes room.
+    pub(super) fn drop_silent(&mut self) {
+        let silent_from = self.now - self.limits.silent_ms;
+        let first = self.connections.iter().find(|(_, c)| !c.spoke && c.idle_since <= silent_from);
+        if let Some(connection) = first.map(|(number, _)| *number) {
+            self.complain(&format!("connection {connection}: it says nothing and makes room"));
+            self.lost(connection);
+        }
+    }
+
     /// Nothing more is read from a connection; what is open on it is still answered.
     pub(super) fn deafen(&mut self, connection: u64, why: &str) {
         self.complain(&format!("connection {connection}: {why}"));
         let Some(peer) = self.connections.get_mut(&connection) else { return };
-        peer.deaf = true;
+        peer.outbox.deafen();
         self.tell_closing(connection);
         self.end_if_deaf(connection);
     }
 
     /// A connection that is read no more ends with its last answer.
     pub(super) fn end_if_deaf(&mut self, connection: u64) {
-        if self.connections.get(&connection).is_some_and(|peer| peer.deaf && peer.open.is_empty()) {
+        if self.connections.get(&connection).is_some_and(|peer| peer.outbox.is_deaf() && peer.open.is_empty())
+        {
             self.connections.remove(&connection);
         }
     }
@@ -232,14 +270,15 @@
         }
     }
 
-    /// An idle connection makes room: the one that has been idle for longest.
+    /// An idle connection makes room: one that has said nothing, then the one that has been idle for longest.
     pub(super) fn crowded(&mut self, why: &str) {
         self.complain(why);
         let idle = self.connections.iter().filter(|(_, c)| c.open.is_empty());
-        let longest = idle.min_by(|(_, a), (_, b)| a.idle_since.total_cmp(&b.idle_since));
+        let order = |c: &Connection| (c.spoke && c.faults == 0, c.idle_since.to_bits());
+        let longest = idle.min_by_key(|(_, c)| order(c));
         let Some((connection, peer)) = longest.map(|(number, peer)| (*number, peer)) else { return };
         // One whose peer takes nothing would keep its descriptor until its writer gives up.
-        if peer.outbox.unwritten() > 0 {
+        if peer.outbox.unwritten() > 0 || !peer.spoke {
             self.lost(connection);
         } else {
             self.tell_closing(connection);
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::agent::Said;
 use crate::sidecars::Outbox;
-use peers::{cancel, dispatch, heard, Heard, SETTINGS};
+use peers::{alive, cancel, dispatch, heard, Heard, SETTINGS};
+use plovershelf::interface::CallEnd;
 use plovershelf_codec::agent::RunOver;
 
 #[path = "../../tests/peers/mod.rs"]
@@ -76,7 +77,9 @@
     }
 
     fn call_over(&mut self, id: u64, end: CallEnd) {
-        self.owner.take(Event::CallOver { id: name(id), end, reply: b"told".to_vec() });
+        let number = self.owner.calls;
+        let over = CallOver { number, end, wanted: true, reply: b"told".to_vec() };
+        self.owner.take(Event::CallOver { id: name(id), over });
         self.owner.settle();
     }
 
@@ -165,14 +168,22 @@
 fn what_no_offering_or_tenant_stands_for_is_refused_before_the_module_hears_of_it() {
     let mut stage = Stage::new();
     let peer = stage.connect();
-    stage.send(peer, dispatch(1, 1, "unheard", &[], b""));
-    stage.send(peer, dispatch(2, 2, "plain", &[("t", "nobody")], b""));
-    stage.send(peer, dispatch(3, 3, "plain", &[("m", "")], b""));
-    stage.send(peer, dispatch(4, 4, "plain", &[], &[0; 3000]));
+    let mut bad = [("t", "nobody"), ("m", ""), ("m", "1e9"), ("s", "0"), ("s", "1e300"), ("p", "NaN")]
+        .map(|field| dispatch(1, 1, "plain", &[field], b""))
+        .to_vec();
+    bad.push(dispatch(1, 1, "unheard", &[], b""));
+    bad.push(dispatch(1, 1, "plain", &[], &[0; 3000]));
+    for frame in bad {
+        let other = stage.connect();
+        stage.send(other, frame);
+        stage.send(other, dispatch(2, 2, "plain", &[], b""));
+        // What no sidecar sends is the last that is read of its connection.
+        assert_eq!(stage.heard(other), [Heard::Complaint(1), Heard::Closing]);
+        assert!(!stage.owner.connections.contains_key(&other));
+    }
     stage.send(peer, dispatch(5, 5, "plain", &[], b""));
     stage.send(peer, dispatch(6, 5, "plain", &[], b""));
-    let refused = [1, 2, 3, 4, 6].map(Heard::Complaint);
-    assert_eq!(stage.heard(peer), refused);
+    assert_eq!(stage.heard(peer), [Heard::Complaint(6)]);
     assert_eq!(stage.commands(), ["launch 0000000000000005 plain 0"]);
 }
 
@@ -180,8 +191,9 @@
 fn times_beyond_all_measure_are_bounded() {
     let mut stage = Stage::new();
     let peer = stage.connect();
-    stage.send(peer, dispatch(1, 1, "single", &[("d", "1e300"), ("s", "1e300")], b""));
-    stage.send(peer, dispatch(2, 2, "plain", &[("d", "0"), ("s", "0")], b""));
+    let long_ago = (stage.owner.now - 50_000.0).to_string();
+    stage.send(peer, dispatch(1, 1, "single", &[("d", "1e300")], b""));
+    stage.send(peer, dispatch(2, 2, "plain", &[("d", "0"), ("s", &long_ago)], b""));
     assert_eq!(stage.heard(peer), [Heard::Dismissed(2)]);
     let last = stage.owner.due.last().expect("a due time").0;
     assert!(f64::from_bits(last) <= stage.owner.now + stage.owner.limits.longest_wait_ms);
@@ -193,7 +205,9 @@
     let mut stage = Stage::with(Limits { open_each: 2, ..Limits::of(64.0, 256) });
     let peer = stage.connect();
     (1..=3).for_each(|seqid| stage.send(peer, dispatch(seqid, seqid as u64, "plain", &[], b"")));
-    assert_eq!(stage.heard(peer), [Heard::Complaint(3)]);
+    assert_eq!(stage.heard(peer), [Heard::Complaint(3), Heard::Closing]);
+    stage.run_over(1, RunOver::Success, b"x");
+    assert_eq!(stage.heard(peer), [Heard::Succeeded(1, b"x".to_vec())]);
 }
 
 #[test]
@@ -235,7 +249,8 @@
     assert_eq!(stage.commands().len(), 1);
     stage.pass(60_000.0);
     let peer = stage.connect();
-    stage.send(peer, dispatch(3, 3, "marked", &[("k", "t"), ("s", "9764576000123")], b""));
+    let came = stage.owner.now.to_string();
+    stage.send(peer, dispatch(3, 3, "marked", &[("k", "t"), ("s", &came)], b""));
     assert_eq!(stage.commands().iter().filter(|line| line.starts_with("launch")).count(), 1);
 }
 
@@ -331,6 +346,77 @@
     assert_eq!(stage.owner.open.len(), 1);
 }
 
+#[test]
+fn a_reply_that_a_broken_link_may_have_lost_is_given_anew_only_to_a_run_that_waits_for_it() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    for id in 1..=4 {
+        let offering = if id == 4 { "single" } else { "plain" };
+        stage.send(peer, dispatch(id as i32, id, offering, &[], b""));
+        stage.wants_call(id);
+        stage.call_over(id, CallEnd::Ok);
+    }
+    (0..4).for_each(|_| drop(stage.calls.try_recv()));
+    stage.agent(Said::Down { all_read: false });
+    stage.link_up();
+    stage.commands();
+    // The one whose call may not be made twice is left alone.
+    let asked = std::iter::from_fn(|| stage.calls.try_recv().ok()).collect::<Vec<_>>();
+    let numbers: Vec<(TryId, u64)> = asked
+        .iter()
+        .map(|order| match order {
+            Order::Call { id, number, .. } => (*id, *number),
+            Order::GiveUp { id } => (*id, 0),
+        })
+        .collect();
+    assert_eq!(numbers.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [1, 2, 3].map(name));
+    let over = |stage: &mut Stage, place: usize, wanted| {
+        let (id, number) = numbers[place];
+        let end = if wanted { CallEnd::Ok } else { CallEnd::ProvenNotRun };
+        let over = CallOver { number, end, wanted, reply: b"anew".to_vec() };
+        stage.owner.take(Event::CallOver { id, over });
+        stage.owner.settle();
+    };
+    // The first run does not wait. The second does, and the third has come to its next call meanwhile.
+    over(&mut stage, 0, false);
+    over(&mut stage, 1, true);
+    over(&mut stage, 2, true);
+    let samples = stage.commands();
+    assert!(samples.len() == 2 && samples.iter().all(|line| line.starts_with("sample")), "{samples:?}");
+    stage.wants_call(3);
+    let tag = samples[1].strip_prefix("sample ").expect("a sample").parse().expect("a tag");
+    stage.agent(Said::Sampled { tag, gauges: vec![0.1, 0.0] });
+    assert_eq!(stage.commands(), ["deliver 0000000000000002 4"]);
+}
+
+#[test]
+fn what_the_agent_does_not_know_ends_the_connection_it_came_on() {
+    let mut stage = Stage::new();
+    let (peer, other) = (stage.connect(), stage.connect());
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.send(other, dispatch(1, 2, "plain", &[], b""));
+    stage.send(other, dispatch(2, 1, "plain", &[], b"other"));
+    let about = name(1).to_vec();
+    stage.agent(Said::Refused { command: "launch".into(), about });
+    assert_eq!(stage.heard(peer), [Heard::Scrapped(1), Heard::Closing]);
+    assert!(!stage.owner.connections.contains_key(&peer));
+    stage.run_over(2, RunOver::Success, b"x");
+    assert_eq!(stage.heard(other), [Heard::Complaint(2), Heard::Succeeded(1, b"x".to_vec())]);
+}
+
+#[test]
+fn silent_connections_make_room_before_any_that_has_spoken() {
+    let mut stage = Stage::with(Limits { crowd: 3, ..Limits::of(64.0, 256) });
+    let (spoke, silent, late) = (stage.connect(), stage.connect(), stage.connect());
+    stage.send(spoke, alive(1));
+    stage.owner.connections.get_mut(&spoke).expect("it is open").idle_since -= 9000.0;
+    stage.owner.connections.get_mut(&silent).expect("it is open").idle_since -= 300.0;
+    stage.connect();
+    assert_eq!(stage.owner.connections.keys().copied().collect::<Vec<_>>(), [spoke, late, 3]);
+    stage.owner.take(Event::Crowded { why: "none left".into() });
+    assert!(stage.owner.connections.contains_key(&spoke) && stage.owner.connections.len() == 2);
+}
+
 #[test]
 fn a_reply_that_no_link_took_is_delivered_on_the_next() {
     let mut stage = Stage::new();
@@ -367,8 +453,9 @@
 fn a_peer_that_reads_nothing_is_bounded_by_itself() {
     let mut stage = Stage::with(Limits { unwritten_each: 2000, ..Limits::of(64.0, 256) });
     let peer = stage.connect();
-    for seqid in 1..=40 {
-        stage.send(peer, dispatch(seqid, seqid as u64, "plain", &[("t", "nobody")], b""));
+    for seqid in 1..=80 {
+        stage.send(peer, cancel(seqid));
+        stage.send(peer, alive(seqid));
     }
     assert!(stage.owner.connections.is_empty());
     assert_eq!(stage.unwritten.get(), 0);
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -36,16 +36,16 @@
             (Some(State::AtCall), State::Running) => self.command_for(id, commands::forgo),
             (_, State::Calling { within_ms }) => self.place_call(id, within_ms),
             (_, State::Joined) => self.join(id),
-            (Some(from), State::Spent { ending, stop }) => {
-                self.drop_call(id, from);
+            (Some(_), State::Spent { ending, stop }) => {
+                self.give_up_call(id);
                 self.answer(id, ending);
                 if stop {
                     self.command_for(id, commands::freeze);
                 }
                 self.settle_doubt(id);
             }
-            (Some(from), State::Ended(ending)) => {
-                self.drop_call(id, from);
+            (Some(_), State::Ended(ending)) => {
+                self.give_up_call(id);
                 self.answer(id, ending);
                 self.forget(id);
             }
--- a/crates/plovershelf-server/src/sidecars.rs
+++ b/crates/plovershelf-server/src/sidecars.rs
@@ -3,16 +3,17 @@
 use std::cell::Cell;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt};
 use plovershelf_codec::front;
 
 use crate::limits::Limits;
 use crate::owner::Event;
-use crate::streams::{gather, write_all, Inflow};
+use crate::streams::{gather, within, write_all, Inflow};
 
 /// Frames on their way to one connection. Dropping it ends the connection when all of them are written.
 pub struct Outbox {
@@ -23,6 +24,8 @@
     most_all: usize,
     /// To end the connection with what is unwritten.
     stream: Option<Rc<Async<TcpStream>>>,
+    /// Nothing more of what comes is handed on.
+    deaf: Rc<Cell<bool>>,
 }
 
 /// Why a frame is not kept for a peer.
@@ -42,7 +45,8 @@
     ) -> (Self, Receiver<Vec<u8>>) {
         let (frames, taken) = async_channel::unbounded();
         let (most, most_all) = (limits.unwritten_each, limits.unwritten_bytes);
-        (Outbox { frames, unwritten: Rc::default(), unwritten_all, most, most_all, stream }, taken)
+        let (unwritten, deaf) = (Rc::default(), Rc::default());
+        (Outbox { frames, unwritten, unwritten_all, most, most_all, stream, deaf }, taken)
     }
 
     pub fn push(&self, frame: Vec<u8>) -> Result<(), Unwritten> {
@@ -62,6 +66,15 @@
         self.unwritten.get()
     }
 
+    /// What still comes is read and thrown away, so that the last answer reaches a peer that goes on writing.
+    pub fn deafen(&self) {
+        self.deaf.set(true);
+    }
+
+    pub fn is_deaf(&self) -> bool {
+        self.deaf.get()
+    }
+
     /// Ends the connection at once; what is unwritten is not counted any longer.
     pub fn abort(self) {
         written(&self.unwritten, &self.unwritten_all, usize::MAX);
@@ -108,12 +121,19 @@
         let stream = Rc::new(stream);
         let (outbox, frames) = Outbox::new(Some(stream.clone()), unwritten_all.clone(), &limits);
         let (unwritten, all) = (outbox.unwritten.clone(), unwritten_all.clone());
+        let deaf = outbox.deaf.clone();
         if inbox.send(Event::Opened { connection: number, outbox }).await.is_err() {
             return;
         }
-        let (writing, held, stall_ms) = (stream.clone(), slots.clone(), limits.stall_ms);
+        let (reads, read_over) = async_channel::bounded::<()>(1);
+        let (writing, held, ignored, own) = (stream.clone(), slots.clone(), deaf.clone(), limits.clone());
         let write = async move {
-            write_frames(&writing, frames, &unwritten, &all, stall_ms).await;
+            write_frames(&writing, frames, &unwritten, &all, own.stall_ms).await;
+            if ignored.get() {
+                // A peer that still writes would lose the last answer if this side just closed.
+                let _ = writing.get_ref().shutdown(std::net::Shutdown::Write);
+                let _ = within(own.linger_ms, async { Ok(read_over.recv().await) }).await;
+            }
             let _ = writing.get_ref().shutdown(std::net::Shutdown::Both);
             written(&unwritten, &all, usize::MAX);
             drop(held);
@@ -121,35 +141,75 @@
         executor.spawn(write).detach();
         let (inbox, limits) = (inbox.clone(), limits.clone());
         let read = async move {
-            let garbled = read_frames(&stream, number, &inbox, &limits).await;
-            drop(stream);
-            let _ = inbox.send(Event::Ended { connection: number, garbled }).await;
+            let garbled = read_frames(&stream, number, &deaf, &inbox, &limits).await;
+            if inbox.send(Event::Ended { connection: number, garbled }).await.is_ok() && garbled.is_some() {
+                throw_away(&stream, &limits).await;
+            }
+            drop((stream, reads));
         };
         executor.spawn(read).detach();
     }
 }
 
-/// Hands on frames until the connection ends; tells what is wrong if they can't be told apart any more.
+/// Reads what nobody wants, up to a bound, until the connection ends.
+async fn throw_away(mut stream: &Async<TcpStream>, limits: &Limits) {
+    let mut bytes = vec![0; limits.read_bytes];
+    let mut left = limits.linger_bytes;
+    while left > 0 {
+        match stream.read(&mut bytes).await {
+            Ok(count) if count > 0 => left = left.saturating_sub(count),
+            _ => return,
+        }
+        future::yield_now().await;
+    }
+    // Enough is enough: the rest is left unread until the writer ends the connection.
+    Timer::after(Duration::from_millis(limits.linger_ms)).await;
+}
+
+/// Hands on frames until the connection ends; tells what is wrong if they can't be told apart any more, or do
+/// not come in time: the first of a connection, and the rest of each that has begun.
 async fn read_frames(
     stream: &Async<TcpStream>,
     connection: u64,
+    deaf: &Cell<bool>,
     inbox: &Sender<Event>,
     limits: &Limits,
 ) -> Option<&'static str> {
     let mut inflow = Inflow::new(4 + limits.frame_bytes, limits.read_bytes);
+    let mut whole_by = Some(Instant::now() + Duration::from_millis(limits.whole_ms));
     loop {
+        if deaf.get() {
+            return Some("more came after what was wrong");
+        }
         match front::frame_length(inflow.bytes(), limits.frame_bytes) {
             Ok(Some(length)) if inflow.bytes().len() >= 4 + length => {
                 let frame = inflow.bytes()[4..4 + length].to_vec();
                 inflow.used(4 + length);
+                whole_by = None;
                 if inbox.send(Event::Frame { connection, frame }).await.is_err() {
                     return None;
                 }
+                // One that sends at full speed takes turns with the others.
+                future::yield_now().await;
+            }
+            Ok(_) => {
+                let begun = !inflow.bytes().is_empty();
+                let span = Duration::from_millis(limits.whole_ms);
+                let until = whole_by.or(begun.then(|| Instant::now() + span));
+                whole_by = until;
+                let late = async {
+                    match until {
+                        Some(until) => Timer::at(until).await,
+                        None => future::pending().await,
+                    };
+                    None
+                };
+                match future::or(async { Some(inflow.fill(stream).await) }, late).await {
+                    Some(Ok(true)) => {}
+                    Some(_) => return None,
+                    None => return Some("no whole message came in time"),
+                }
             }
-            Ok(_) => match inflow.fill(stream).await {
-                Ok(true) => {}
-                _ => return None,
-            },
             Err(what) => return Some(what),
         }
     }
--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
@@ -264,6 +264,32 @@
     assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"x".to_vec())));
 }
 
+#[test]
+fn a_client_that_is_silent_slow_or_goes_on_writing_hears_that_it_is_over() {
+    let (backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&alive(1));
+    assert_eq!(sidecar.hear(), Some(Heard::Fit(1, true)));
+    // None at all, half a frame, and more than a frame may have.
+    let mut silent = Sidecar::to(&backend.address);
+    let mut half = Sidecar::to(&backend.address);
+    half.0.write_all(&[0, 0, 0, 90, 0x80, 1]).expect("a connection that takes bytes");
+    let mut huge = Sidecar::to(&backend.address);
+    let mut writes = huge.0.try_clone().expect("the same connection");
+    let writing = std::thread::spawn(move || {
+        let _ = writes.write_all(&(60u32 << 20).to_be_bytes());
+        while writes.write_all(&[0; 4096]).is_ok() {}
+    });
+    assert_eq!(huge.hear(), Some(Heard::Closing));
+    writing.join().expect("it is cut off");
+    for late in [&mut silent, &mut half] {
+        assert_eq!(late.hear(), Some(Heard::Closing));
+        assert_eq!(late.0.read(&mut [0]).expect("an end, not silence"), 0);
+    }
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    agent.expect("launch");
+}
+
 #[test]
 fn the_notice_to_leave_ends_in_a_clean_exit_with_all_answered() {
     let (backend, mut agent) = Backend::usual();
