--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -274,7 +274,9 @@
     pub(super) fn crowded(&mut self, why: &str) {
         self.complain(why);
         let idle = self.connections.iter().filter(|(_, c)| c.open.is_empty());
-        let order = |c: &Connection| (c.spoke && c.faults == 0, c.idle_since.to_bits());
+        let silent_from = self.now - self.limits.silent_ms;
+        let silent = |c: &Connection| !c.spoke && c.idle_since <= silent_from;
+        let order = |c: &Connection| (c.faults == 0 && !silent(c), c.idle_since.to_bits());
         let longest = idle.min_by_key(|(_, c)| order(c));
         let Some((connection, peer)) = longest.map(|(number, peer)| (*number, peer)) else { return };
         // One whose peer takes nothing would keep its descriptor until its writer gives up.
