A leaving backend keeps its callers until its grace is nearly over

Seen: 25 % in time while a server of four leaves; advise() in logic.rs told callers to stay away and the owner told every connection to close at the notice, so two seconds in which work may still run were given away. Also: idle connections make room from three quarters of the cap on, silent ones first, so that accepting seldom rests.

--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -35,8 +35,10 @@
     /// A connection that was refused is still read for so long and so much, that its peer hears of it.
     pub linger_ms: u64,
     pub linger_bytes: usize,
-    /// From this many connections on, those that have said nothing yet make room.
+    /// From this many connections on, those that have said nothing for the one span, and those idle for the
+    /// other, make room.
     pub crowd: usize,
+    pub idle_least_ms: f64,
     pub silent_ms: f64,
     /// Faults that end a connection, where they may be another's.
     pub faults: u32,
@@ -74,6 +76,8 @@
     pub accept_rest_ms: u64,
     /// Before it is killed, the program ends this much earlier by itself.
     pub exit_early_ms: f64,
+    /// Before connections are refused, those that there are are told to close.
+    pub closing_early_ms: f64,
     /// Connections are refused from this long before the kill at the latest.
     pub refuse_early_ms: f64,
     /// Lines a second in the log about what peers do wrong.
@@ -105,6 +109,7 @@
             linger_ms: 300,
             linger_bytes: 256 << 10,
             crowd: connections * 3 / 4,
+            idle_least_ms: 1000.0,
             silent_ms: 250.0,
             faults: 16,
             oldest_ms: 60_000.0,
@@ -126,6 +131,7 @@
             closing_ms: 10_000.0,
             accept_rest_ms: 5,
             exit_early_ms: 20.0,
+            closing_early_ms: 150.0,
             refuse_early_ms: 200.0,
             complaints_a_second: 10,
         }
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -62,6 +62,8 @@
     Periodic,
     /// The sample of this tag has not been answered in time.
     GaugesLate(u64),
+    /// Connections are told to close before the grace is over.
+    Closing,
     GraceOver,
     Exit,
 }
@@ -252,6 +254,7 @@
                     self.wake(Wake::Periodic, Gauges::default());
                 }
             }
+            Due::Closing => self.tell_all_closing(),
             // What comes from now on would only be turned away: refused connections send it elsewhere sooner.
             Due::GraceOver => {
                 self.grace_over = true;
@@ -277,13 +280,16 @@
                 };
                 self.connections.insert(connection, fresh);
                 if self.connections.len() > self.limits.crowd {
-                    self.drop_silent();
+                    self.make_room(self.limits.idle_least_ms);
                 }
             }
             Event::Frame { connection, frame } => self.read(connection, frame),
             Event::Ended { connection, garbled: Some(what) } => self.deafen(connection, what),
             Event::Ended { connection, garbled: None } => self.lost(connection),
-            Event::Crowded { why } => self.crowded(&why),
+            Event::Crowded { why } => {
+                self.complain(&why);
+                self.make_room(0.0);
+            }
             Event::Agent(said) => self.hear(said),
             Event::Odd(what) => self.complain(&what),
             Event::CallOver { id, over } => self.call_over(id, over),
@@ -313,9 +319,10 @@
             return;
         }
         tracing::info!("told to leave");
-        self.tell_all_closing();
         let stop_ms = self.stop_ms;
         let refuse_from = self.start.facts.grace_ms.min(stop_ms - self.limits.refuse_early_ms);
+        // What comes inside the grace is run, so its callers keep their connections until shortly before.
+        self.at((refuse_from - self.limits.closing_early_ms).max(0.0), Due::Closing);
         self.at(refuse_from.max(0.0), Due::GraceOver);
         self.at((stop_ms - self.limits.exit_early_ms).max(0.0), Due::Exit);
         self.decide(|backend, now| backend.told_to_leave(now, now + stop_ms));
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -182,13 +182,22 @@
         }
     }
 
-    /// Of connections that have said nothing the one that came first makes room.
-    pub(super) fn drop_silent(&mut self) {
-        let silent_from = self.now - self.limits.silent_ms;
-        let first = self.connections.iter().find(|(_, c)| !c.spoke && c.idle_since <= silent_from);
-        if let Some(connection) = first.map(|(number, _)| *number) {
-            self.complain(&format!("connection {connection}: it says nothing and makes room"));
+    /// Before connections run short, one that has said nothing makes room, or else the one idle for longest.
+    pub(super) fn make_room(&mut self, idle_least_ms: f64) {
+        let (silent_from, idle_from) = (self.now - self.limits.silent_ms, self.now - idle_least_ms);
+        let silent = |c: &Connection| !c.spoke && c.idle_since <= silent_from;
+        let goes = |c: &Connection| silent(c) || (c.open.is_empty() && c.idle_since <= idle_from);
+        let all = self.connections.iter().filter(|(_, c)| goes(c));
+        let first = all.min_by_key(|(_, c)| (c.faults == 0 && !silent(c), c.idle_since.to_bits()));
+        let Some((connection, spoke)) = first.map(|(number, c)| (*number, c.spoke)) else { return };
+        // One whose peer takes nothing would keep its descriptor until its writer gives up.
+        let unwritten = self.connections[&connection].outbox.unwritten() > 0;
+        if unwritten || !spoke {
+            self.complain("a connection that says nothing makes room");
             self.lost(connection);
+        } else {
+            self.tell_closing(connection);
+            self.connections.remove(&connection);
         }
     }
 
@@ -270,24 +279,6 @@
         }
     }
 
-    /// An idle connection makes room: one that has said nothing, then the one that has been idle for longest.
-    pub(super) fn crowded(&mut self, why: &str) {
-        self.complain(why);
-        let idle = self.connections.iter().filter(|(_, c)| c.open.is_empty());
-        let silent_from = self.now - self.limits.silent_ms;
-        let silent = |c: &Connection| !c.spoke && c.idle_since <= silent_from;
-        let order = |c: &Connection| (c.faults == 0 && !silent(c), c.idle_since.to_bits());
-        let longest = idle.min_by_key(|(_, c)| order(c));
-        let Some((connection, peer)) = longest.map(|(number, peer)| (*number, peer)) else { return };
-        // One whose peer takes nothing would keep its descriptor until its writer gives up.
-        if peer.outbox.unwritten() > 0 || !peer.spoke {
-            self.lost(connection);
-        } else {
-            self.tell_closing(connection);
-            self.connections.remove(&connection);
-        }
-    }
-
     /// Connections that were not used for the module's idle span are told to close, and ended if they stay.
     pub(super) fn close_idle(&mut self) {
         let (told_before, idle_before) = (self.now - self.limits.closing_ms, self.now - self.idle_ms);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -479,14 +479,13 @@
             return;
         }
         let core_ms = invocation.core_ms + self.hand.core_clock - invocation.core_clock;
-        let hinted_ms = invocation.hint_ms.unwrap_or(0.0);
         let ill = end == RunEnd::Error || (end == RunEnd::Stopped && !self.behind());
         self.failing += FAILING_WEIGHT * (f64::from(u8::from(ill)) - self.failing);
         let row = &mut self.offerings[invocation.offering];
         if end != RunEnd::Error {
             row.runs = row.runs * RUNS_KEPT + 1.0;
             row.core_ms = row.core_ms * RUNS_KEPT + core_ms;
-            row.hinted_ms = row.hinted_ms * RUNS_KEPT + hinted_ms;
+            row.hinted_ms = row.hinted_ms * RUNS_KEPT + invocation.hint_ms.unwrap_or(0.0);
         }
     }
 
@@ -707,8 +706,7 @@
 
     /// Gives the final answer; work of it that still runs is stopped where it may be.
     fn finish(&mut self, id: u32, ending: Ending) {
-        let rerunnable = self.row(id).terms.repeats == Repeats::Rerunnable;
-        let stops = rerunnable && self.facts.halting != Halting::Never;
+        let stops = self.row(id).terms.repeats == Repeats::Rerunnable && self.facts.halting != Halting::Never;
         match self.hand.invocations[&id].state {
             State::Spent { .. } | State::Ended(_) => {}
             State::Held | State::Joined => self.change(id, State::Ended(ending)),
@@ -723,12 +721,14 @@
     }
 
     fn advise(&mut self) {
-        let gone = self.leaving.is_some() || self.failing > FAILING_SHARE;
+        // What arrives inside the grace is served, so callers stay until it is nearly over.
+        let leaves = self.leaving.is_some_and(|(grace_end, _)| self.now + COOL_MS >= grace_end);
+        let gone = leaves || self.failing > FAILING_SHARE;
         let fit = !gone && (self.facts.list_follows_health || self.ease > FIT_LET_IN);
         self.out.words.fit = (fit != std::mem::replace(&mut self.fit_told, fit)).then_some(fit);
         if gone != self.away_told {
             self.away_told = gone;
-            let why = if self.leaving.is_some() { "leaving" } else { "runs fail or do not end" };
+            let why = if leaves { "leaving" } else { "runs fail or do not end" };
             self.out.words.notes.push(if gone { format!("stay away: {why}") } else { "well again".into() });
         }
         self.keep_idle();
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -282,6 +282,9 @@
     let mut backend = started(facts());
     backend.arrived(0.0, arrival(1, 3));
     let outcome = backend.told_to_leave(100.0, 2000.0);
+    // What comes inside the grace is served, so callers are sent away only when it is nearly over.
+    assert_eq!(outcome.words.fit, None);
+    let outcome = backend.woke(350.0, Wake::Periodic, Gauges::default());
     assert_eq!((outcome.words.fit, outcome.words.advice), (Some(false), Some(1.0)));
     assert_eq!(last(&backend.arrived(600.0, arrival(2, 1))), State::Running);
     assert!(dismissed(&backend.arrived(650.0, Arrival { unread_ms: 40.0, ..arrival(3, 1) })));
