The agent's link moves only when its address has changed; silence is judged by calls of late

Seen: a test hung, as a bad file's SIGHUP left a token that moved the link once more after it had moved (agent.rs, successor). The owner's timer is set only for another time.

--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -66,15 +66,12 @@
         let before = last_read;
         let mut greeted = false;
         let stream = match next.take() {
-            Some(stream) => Ok(stream),
-            None => {
-                let _ = moved.try_recv();
-                connect(&address, &limits).await
-            }
+            Some(made) => Ok(made),
+            None => connect(&address, &limits).await,
         };
         let ended = match stream {
-            Ok(stream) => {
-                let successor = successor(&address, &moved, &limits);
+            Ok((stream, to)) => {
+                let successor = successor(&address, to, &moved, &limits);
                 link(&stream, successor, &mut last_read, &mut greeted, &inbox, &limits).await
             }
             Err(error) => Err(io::Error::other(format!("connecting: {error}"))),
@@ -85,9 +82,9 @@
             return;
         }
         match ended {
-            Ok(stream) => {
+            Ok(made) => {
                 tracing::info!("the agent's link moves to {} after notice {last_read}", address.get());
-                next = Some(stream);
+                next = Some(made);
             }
             Err(error) => {
                 tracing::warn!("the agent's link ended after notice {last_read}: {error}");
@@ -100,18 +97,29 @@
     }
 }
 
-async fn connect(address: &Cell<SocketAddr>, limits: &Limits) -> io::Result<Async<TcpStream>> {
-    within(limits.connect_ms, Async::<TcpStream>::connect(address.get())).await
+/// A connection and where it leads.
+type Made = (Async<TcpStream>, SocketAddr);
+
+async fn connect(address: &Cell<SocketAddr>, limits: &Limits) -> io::Result<Made> {
+    let to = address.get();
+    Ok((within(limits.connect_ms, Async::<TcpStream>::connect(to)).await?, to))
 }
 
-/// A connection to the agent's new address, once there is one.
-async fn successor(address: &Cell<SocketAddr>, moved: &Receiver<()>, limits: &Limits) -> Async<TcpStream> {
-    if moved.recv().await.is_err() {
-        future::pending::<()>().await;
-    }
+/// A connection to where the agent has moved, once it has.
+async fn successor(
+    address: &Cell<SocketAddr>,
+    from: SocketAddr,
+    moved: &Receiver<()>,
+    limits: &Limits,
+) -> Made {
     loop {
+        while address.get() == from {
+            if moved.recv().await.is_err() {
+                future::pending::<()>().await;
+            }
+        }
         match connect(address, limits).await {
-            Ok(stream) => return stream,
+            Ok(made) => return made,
             Err(error) => tracing::debug!("connecting to the agent's new address: {error}"),
         }
         Timer::after(Duration::from_millis(limits.retry_first_ms)).await;
@@ -126,12 +134,12 @@
 /// of this one have been read.
 async fn link(
     stream: &Async<TcpStream>,
-    successor: impl Future<Output = Async<TcpStream>>,
+    successor: impl Future<Output = Made>,
     last_read: &mut u64,
     greeted: &mut bool,
     inbox: &Sender<Event>,
     limits: &Limits,
-) -> io::Result<Async<TcpStream>> {
+) -> io::Result<Made> {
     stream.get_ref().set_nodelay(true)?;
     let (sender, orders) = async_channel::bounded::<Vec<u8>>(limits.orders);
     // Before the agent is up it takes no command; before all that was missed has been read, none but the fence.
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -58,6 +58,25 @@
     }
 }
 
+/// What calls of late have taken, from which it follows how long one may be out before its connection is held
+/// to have gone bad. Those that were cut off count too, so that a ledger that slows down is not taken for silent.
+struct Pace {
+    mean_ms: Cell<f64>,
+    limits: Rc<Limits>,
+}
+
+impl Pace {
+    fn learn(&self, took_ms: u64) {
+        let mean_ms = self.mean_ms.get();
+        self.mean_ms.set(mean_ms + self.limits.pace_weight * (took_ms as f64 - mean_ms));
+    }
+
+    fn silent_ms(&self) -> u64 {
+        let [least, most] = self.limits.ledger_silent_ms;
+        ((self.limits.silent_times * self.mean_ms.get()) as u64).clamp(least, most)
+    }
+}
+
 fn ms_since(then: Instant) -> u64 {
     then.elapsed().as_millis() as u64
 }
@@ -87,6 +106,7 @@
     limits: Rc<Limits>,
 ) {
     let mut lines: Vec<Line> = Vec::new();
+    let pace = Rc::new(Pace { mean_ms: Cell::new(0.0), limits: limits.clone() });
     while let Ok(order) = orders.recv().await {
         // One that takes no more calls ends with the last it has out.
         let to = address.get();
@@ -106,7 +126,7 @@
                     _ => {
                         let carried = Rc::new(RefCell::new(Carried::default()));
                         let (sender, taken) = async_channel::unbounded();
-                        let talk = talk(to, carried.clone(), taken, inbox.clone(), limits.clone());
+                        let talk = talk(to, carried.clone(), taken, inbox.clone(), pace.clone());
                         executor.spawn(talk).detach();
                         lines.push(Line { to, carried, lines: sender });
                         &lines[lines.len() - 1]
@@ -136,11 +156,12 @@
     carried: Rc<RefCell<Carried>>,
     lines: Receiver<Vec<u8>>,
     inbox: Sender<Event>,
-    limits: Rc<Limits>,
+    pace: Rc<Pace>,
 ) {
+    let limits = &pace.limits;
     let (end, why) = match within(limits.connect_ms, Async::<TcpStream>::connect(to)).await {
         // What was out on a connection that went bad proves nothing.
-        Ok(stream) => (CallEnd::PerhapsRun, converse(&stream, &carried, &lines, &inbox, &limits).await.err()),
+        Ok(stream) => (CallEnd::PerhapsRun, converse(&stream, &carried, &lines, &inbox, &pace).await.err()),
         Err(error) => (CallEnd::ProvenNotRun, Some(error)),
     };
     let out = {
@@ -162,8 +183,9 @@
     carried: &RefCell<Carried>,
     lines: &Receiver<Vec<u8>>,
     inbox: &Sender<Event>,
-    limits: &Limits,
+    pace: &Pace,
 ) -> io::Result<()> {
+    let limits = &pace.limits;
     stream.get_ref().set_nodelay(true)?;
     let over = || {
         let carried = carried.borrow();
@@ -186,7 +208,9 @@
         loop {
             Timer::after(Duration::from_millis(limits.watch_ms)).await;
             let carried = carried.borrow();
-            if carried.out.values().any(|(_, since)| ms_since(*since) >= limits.ledger_silent_ms) {
+            let longest = carried.out.values().map(|(_, since)| ms_since(*since)).max();
+            if let Some(out_ms) = longest.filter(|out_ms| *out_ms >= pace.silent_ms()) {
+                pace.learn(out_ms);
                 return Err(io::Error::other("it is silent"));
             }
             if carried.idle_ms() >= limits.ledger_idle_ms {
@@ -223,7 +247,8 @@
                 carried.answered = Some(Instant::now());
                 carried.out.remove(&id)
             };
-            if let Some((number, _)) = counts {
+            if let Some((number, since)) = counts {
+                pace.learn(ms_since(since));
                 let over = CallOver { number, end, wanted, reply };
                 let _ = inbox.send(Event::CallOver { id, over }).await;
             }
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -55,9 +55,11 @@
     pub calls_a_connection: usize,
     /// The ledger may close or forget what is idle; this side lets go earlier, so that no call crosses that.
     pub ledger_idle_ms: u64,
-    /// A connection on which a call has been out for so long has gone bad, as has one whose answer stays in
-    /// part for so long; how often that is looked at.
-    pub ledger_silent_ms: u64,
+    /// A connection on which a call has been out for so many times the mean of late has gone bad, within these
+    /// bounds, as has one whose answer stays in part for so long; how often that is looked at.
+    pub silent_times: f64,
+    pub pace_weight: f64,
+    pub ledger_silent_ms: [u64; 2],
     pub part_ms: u64,
     pub watch_ms: u64,
     /// Listed as long as one beat arrives every 3 s: with a quarter lost, twelve in a row hardly ever are.
@@ -120,7 +122,9 @@
             ledger_connections,
             calls_a_connection: 200,
             ledger_idle_ms: 400,
-            ledger_silent_ms: 600,
+            silent_times: 10.0,
+            pace_weight: 0.05,
+            ledger_silent_ms: [200, 1500],
             part_ms: 150,
             watch_ms: 50,
             beat_ms: 250,
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -127,6 +127,8 @@
     now: f64,
     due: BTreeSet<(u64, Due, u64)>,
     due_count: u64,
+    timer: Timer,
+    timer_for: Option<u64>,
     connections: BTreeMap<u64, Connection>,
     open: BTreeMap<u32, Open>,
     open_bytes: usize,
@@ -176,6 +178,8 @@
             now: unix_ms(),
             due: BTreeSet::new(),
             due_count: 0,
+            timer: Timer::never(),
+            timer_for: None,
             connections: BTreeMap::new(),
             open: BTreeMap::new(),
             open_bytes: 0,
@@ -219,14 +223,24 @@
         self.due.first().map_or(1000.0, |(at, ..)| (f64::from_bits(*at) - unix_ms()).clamp(0.0, 1000.0))
     }
 
+    /// The next event, or none where something is due first. The timer is set anew only for another time, as
+    /// each setting costs system calls.
     async fn wait(&mut self) -> Option<Event> {
-        let wait_ms = self.wait_ms();
-        let due = async {
-            Timer::after(Duration::from_secs_f64(wait_ms / 1000.0)).await;
+        let due_at = self.due.first().map(|(at, ..)| *at);
+        if self.timer_for != due_at || due_at.is_none() {
+            self.timer.set_after(Duration::from_secs_f64(self.wait_ms() / 1000.0));
+            self.timer_for = due_at;
+        }
+        let (inbox, timer) = (&self.inbox, &mut self.timer);
+        let event = future::or(async { inbox.recv().await.ok() }, async {
+            timer.await;
             None
-        };
-        let inbox = self.inbox.clone();
-        future::or(async { inbox.recv().await.ok() }, due).await
+        })
+        .await;
+        if event.is_none() {
+            self.timer_for = None;
+        }
+        event
     }
 
     /// The system's clock, which never goes back here.
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -90,6 +90,10 @@
                 again.push(*id);
             }
             open.doubtful = unsure;
+            // Over for its caller, perhaps never begun, and not to be launched again: nothing is waited for.
+            if unsure && open.answered && repeats != Repeats::Rerunnable {
+                self.ended.push_back((*id, RunEnd::NeverBegan));
+            }
             if !open.answered {
                 late.extend(open.undelivered.take().map(|reply| (*id, reply)));
             }
--- a/crates/plovershelf-server/tests/peers/mod.rs
+++ b/crates/plovershelf-server/tests/peers/mod.rs
@@ -126,7 +126,13 @@
 
 impl Lines {
     pub fn accept(listener: &TcpListener) -> Self {
-        let (stream, _) = listener.accept().expect("a backend that connects");
+        listener.set_nonblocking(true).expect("it takes that");
+        let tries = std::iter::repeat_with(|| {
+            std::thread::sleep(Duration::from_millis(2));
+            listener.accept()
+        });
+        let (stream, _) = tries.take(10_000).find_map(Result::ok).expect("a backend that connects");
+        stream.set_nonblocking(false).expect("it takes that");
         stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
         Lines { reader: BufReader::new(stream) }
     }
