A quarter of the share of calls stays in hand however slow calls are

Ruled out: the processor (2 % of a core), memory, descriptors, the reading of arrivals (5 ms unread). The least part lies far under the share that the ledger survives; failures still pause all calls.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,10 +58,11 @@
 const FIT_LET_IN: f64 = 0.5;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
-/// Calls in hand shrink when one fails or when they take so many times the least mean of late, and grow back.
+/// Calls in hand shrink to the least part of the share when one fails or they take so long against their best.
 const CALL_SLOW: f64 = 3.0;
 const CALL_SHRINK_SLOW: f64 = 0.95;
 const CALL_SHRINK_FAILED: f64 = 0.7;
+const CALLS_LEAST: f64 = 0.25;
 /// After a failed call none is placed for this long, doubling while they go on failing.
 const CALL_PAUSE_MS: f64 = 20.0;
 const CALL_PAUSE_MOST_MS: f64 = 640.0;
@@ -599,16 +600,15 @@
     fn remember(&mut self, id: u32, arrival: &Arrival) {
         let read = self.row(id).terms.repeats == Repeats::Rerunnable && arrival.key != 0 && !arrival.writes;
         let shares = read && self.facts.share_answers_ms > 0.0;
-        let span = if self.remembers(id) {
+        let ms = if self.remembers(id) {
             self.row(id).terms.ticket_window_ms
         } else if shares && self.memory_share() < 0.5 * MEMORY_RUN {
             self.row(id).terms.contract_ms + self.facts.share_answers_ms
         } else {
             return;
         };
-        self.hand.remembered.insert((bits(self.now + span), id));
-        let held = State::Held;
-        self.out.changes.push(Change { id, from: Some(held), to: held, remember_ms: Some(span) });
+        self.hand.remembered.insert((bits(self.now + ms), id));
+        self.out.changes.push(Change { id, from: Some(State::Held), to: State::Held, remember_ms: Some(ms) });
     }
 
     // ---- runs and calls -----------------------------------------------------------------------------
@@ -652,10 +652,10 @@
     /// mean time, as single ones differ much. Guards against a dependency that slows, turns away or is gone:
     /// without the pause its instant refusals are repeated without end. Harms where a slowdown is brief.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
-        let paused = self.now < self.calls_after;
+        let (paused, least) = (self.now < self.calls_after, (CALLS_LEAST * self.call_share).max(1.0));
         self.rest_after(took_ms, end == CallEnd::GivenUp);
         if end != CallEnd::Ok {
-            self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(1.0);
+            self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(least);
             if !paused {
                 self.calls_after = self.calls_after.max(self.now + self.call_pause_ms);
                 self.call_pause_ms = (2.0 * self.call_pause_ms).min(CALL_PAUSE_MOST_MS);
@@ -668,7 +668,7 @@
         let slow = self.call_took_ms > CALL_SLOW * self.call_quick_ms;
         let next =
             if slow { self.calls_most * CALL_SHRINK_SLOW } else { self.calls_most + 1.0 / self.calls_most };
-        self.calls_most = next.min(self.call_share).max(1.0);
+        self.calls_most = next.min(self.call_share).max(least);
     }
 
     /// A share under one call is kept by resting after each, also for as long as those given up may linger.
