--- a/src/interface.rs
+++ b/src/interface.rs
@@ -113,6 +113,8 @@
     /// Given up: it may linger below and may have had its effect.
     GivenUp,
     PerhapsRun,
+    /// Its connection went bad, which says nothing of what lies below; it may have had its effect.
+    Lost,
 }
 
 /// The backend's own gauges, where it has them.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -656,7 +656,7 @@
         self.rest_after(took_ms, end == CallEnd::GivenUp);
         if end != CallEnd::Ok {
             self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(least);
-            if !paused {
+            if !(paused || end == CallEnd::Lost) {
                 self.calls_after = self.calls_after.max(self.now + self.call_pause_ms);
                 self.call_pause_ms = (2.0 * self.call_pause_ms).min(CALL_PAUSE_MOST_MS);
             }
