At the cap all connections that say nothing make room at once

Seen: descriptors at 494 of 512 and accepting at rest; one silent connection went every 5 ms, and none younger than 250 ms.

--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -294,16 +294,13 @@
                 };
                 self.connections.insert(connection, fresh);
                 if self.connections.len() > self.limits.crowd {
-                    self.make_room(self.limits.idle_least_ms);
+                    self.make_room(self.limits.silent_ms, self.limits.idle_least_ms);
                 }
             }
             Event::Frame { connection, frame } => self.read(connection, frame),
             Event::Ended { connection, garbled: Some(what) } => self.deafen(connection, what),
             Event::Ended { connection, garbled: None } => self.lost(connection),
-            Event::Crowded { why } => {
-                self.complain(&why);
-                self.make_room(0.0);
-            }
+            Event::Crowded { why } => self.crowded(&why),
             Event::Agent(said) => self.hear(said),
             Event::Odd(what) => self.complain(&what),
             Event::CallOver { id, over } => self.call_over(id, over),
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -182,14 +182,25 @@
         }
     }
 
+    /// No more connections are taken until some are gone: all that have said nothing since they were made, as a
+    /// sidecar does not, and else the one idle for longest.
+    pub(super) fn crowded(&mut self, why: &str) {
+        self.complain(why);
+        let mut left = self.limits.evictions;
+        while left > 0 && self.make_room(self.limits.speaks_ms, 0.0) {
+            left -= 1;
+        }
+    }
+
     /// Before connections run short, one that has said nothing makes room, or else the one idle for longest.
-    pub(super) fn make_room(&mut self, idle_least_ms: f64) {
-        let (silent_from, idle_from) = (self.now - self.limits.silent_ms, self.now - idle_least_ms);
+    /// Tells whether it had said nothing.
+    pub(super) fn make_room(&mut self, silent_ms: f64, idle_least_ms: f64) -> bool {
+        let (silent_from, idle_from) = (self.now - silent_ms, self.now - idle_least_ms);
         let silent = |c: &Connection| !c.spoke && c.idle_since <= silent_from;
-        let goes = |c: &Connection| silent(c) || (c.open.is_empty() && c.idle_since <= idle_from);
+        let goes = |c: &Connection| silent(c) || (c.spoke && c.open.is_empty() && c.idle_since <= idle_from);
         let all = self.connections.iter().filter(|(_, c)| goes(c));
         let first = all.min_by_key(|(_, c)| (c.faults == 0 && !silent(c), c.idle_since.to_bits()));
-        let Some((connection, spoke)) = first.map(|(number, c)| (*number, c.spoke)) else { return };
+        let Some((connection, spoke)) = first.map(|(number, c)| (*number, c.spoke)) else { return false };
         // One whose peer takes nothing would keep its descriptor until its writer gives up.
         let unwritten = self.connections[&connection].outbox.unwritten() > 0;
         if unwritten || !spoke {
@@ -199,6 +210,7 @@
             self.tell_closing(connection);
             self.connections.remove(&connection);
         }
+        !spoke
     }
 
     /// Nothing more is read from a connection; what is open on it is still answered.
