The mean time of calls looks back on twenty, so that a quick spell is not taken for the least

Seen (probe): on one server calls in hand stood at their least of 3.7 and 10 to 14 invocations waited at calls, though calls took 15 ms; on its neighbour the room was 15. The mean over seven calls had once dipped to 5 ms, which then counted as the least.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,7 @@
 const IDLE_UP: f64 = 1.4;
 const IDLE_DOWN: f64 = 0.8;
 
-/// Runs that the measure of a run's core time looks back on, as the part kept at each new one.
+/// Ended runs and calls that the measures of their times look back on, as the part kept at each new one.
 const RUNS_KEPT: f64 = 0.95;
 /// Callers are told to stay away when this share of runs of late ended in error or in no good time.
 const FAILING_WEIGHT: f64 = 0.1;
@@ -58,7 +58,7 @@
 const FIT_LET_IN: f64 = 0.5;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
-/// Calls in hand shrink to the least part of the share when one fails or they take so long against their best.
+/// Calls in hand shrink, to the least part of the share, when one fails or their mean is long against its least.
 const CALL_SLOW: f64 = 3.0;
 const CALL_SHRINK_SLOW: f64 = 0.95;
 const CALL_SHRINK_FAILED: f64 = 0.7;
@@ -663,7 +663,7 @@
             return;
         }
         self.call_pause_ms = CALL_PAUSE_MS;
-        self.call_took_ms += SMOOTH * (took_ms - self.call_took_ms);
+        self.call_took_ms += (1.0 - RUNS_KEPT) * (took_ms - self.call_took_ms);
         self.call_quick_ms = self.call_quick_ms.min(self.call_took_ms);
         let slow = self.call_took_ms > CALL_SLOW * self.call_quick_ms;
         let next =
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -349,6 +349,11 @@
         backend.learn_call(took_ms, CallEnd::Ok);
     }
     assert!(backend.calls_most > 0.9 * backend.call_share);
+    // A spell of quick ones is not the least that calls can take.
+    for took_ms in [vec![1.0; 10], vec![60.0; 6]].concat().repeat(10) {
+        backend.learn_call(took_ms, CallEnd::Ok);
+    }
+    assert!(backend.calls_most > 0.9 * backend.call_share);
     (0..60).for_each(|_| backend.learn_call(400.0, CallEnd::Ok));
     // No fewer than a quarter: those would not be quicker, and what stands at its call would expire there.
     assert_eq!(backend.calls_most, 0.25 * backend.call_share);
