An agent that can't be connected to fills no log

Tried as a new user from the README: with no agent the log grew by two lines a second, as the rewritten link told each refused connection (agent.rs, keep_link).

--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -69,12 +69,13 @@
             Some(made) => Ok(made),
             None => connect(&address, &limits).await,
         };
+        let connected = stream.is_ok();
         let ended = match stream {
             Ok((stream, to)) => {
                 let successor = successor(&address, to, &moved, &limits);
                 link(&stream, successor, &mut last_read, &mut greeted, &inbox, &limits).await
             }
-            Err(error) => Err(io::Error::other(format!("connecting: {error}"))),
+            Err(error) => Err(error),
         };
         // Where nobody takes events any more, the program ends and the link with it.
         let all_read = ended.is_ok();
@@ -87,7 +88,11 @@
                 next = Some(made);
             }
             Err(error) => {
-                tracing::warn!("the agent's link ended after notice {last_read}: {error}");
+                if connected {
+                    tracing::warn!("the agent's link ended after notice {last_read}: {error}");
+                } else {
+                    tracing::debug!("connecting to the agent: {error}");
+                }
                 let well = greeted || last_read > before;
                 rest_ms = if well { limits.retry_first_ms } else { rest_ms };
                 Timer::after(Duration::from_millis(rest_ms)).await;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,7 +58,7 @@
 const FIT_LET_IN: f64 = 0.5;
 /// Part of the told share of the dependency that calls in hand may take.
 const CALLS_OF_SHARE: f64 = 0.9;
-/// Calls in hand shrink, to a least part of the share, when one fails or their mean grows long, and grow back.
+/// Calls in hand shrink, to a least part of the share, when one fails or their mean is long, and grow back.
 const CALL_SLOW: f64 = 3.0;
 const CALL_SHRINK_SLOW: f64 = 0.95;
 const CALL_SHRINK_FAILED: f64 = 0.7;
