--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -127,7 +127,7 @@
             connect_ms: 1000,
             ledger_connections,
             calls_a_connection: 200,
-            ledger_idle_ms: 60,
+            ledger_idle_ms: 400,
             silent_times: 12.0,
             pace_weight: 0.05,
             pace_first_ms: 100.0,
