One check for a ledger connection that takes no more calls; reading again is the peers' own

Read over once more: whether a connection is over was told twice with the same conditions (ledger.rs, keep_calls and beside), and read_again stood on Launch without using it.

--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -53,6 +53,14 @@
 }
 
 impl Peers {
+    /// Reads the file again; where it can't be used, all stays as it is.
+    pub fn read_again(&self, before: &Value) {
+        match read_file().and_then(|top| self.move_to(before, &top)) {
+            Ok(()) => tracing::info!("the configuration was read again"),
+            Err(error) => tracing::warn!("the new configuration is not used: {error}"),
+        }
+    }
+
     fn read(top: &Value) -> Result<Self, String> {
         let at = |key| Ok::<_, String>(Rc::new(Cell::new(address(top, key)?)));
         Ok(Peers { agent: at("agent")?, roster: at("registry")?, ledger: at("records")? })
@@ -72,16 +80,6 @@
     }
 }
 
-impl Launch {
-    /// Reads the file again; where it can't be used, all stays as it is.
-    pub fn read_again(peers: &Peers, before: &Value) {
-        match read_file().and_then(|top| peers.move_to(before, &top)) {
-            Ok(()) => tracing::info!("the configuration was read again"),
-            Err(error) => tracing::warn!("the new configuration is not used: {error}"),
-        }
-    }
-}
-
 pub fn read(top: &Value) -> Result<Launch, String> {
     let measure = |within: &Value, key: &str| {
         within[key].as_f64().filter(|v| *v > 0.0).ok_or_else(|| format!("{key:?} is missing or not above 0"))
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -88,12 +88,17 @@
 }
 
 impl Line {
+    /// It takes no further calls.
+    fn over(&self, to: SocketAddr, limits: &Limits) -> bool {
+        let carried = self.carried.borrow();
+        carried.retired || self.to != to || carried.ever.len() >= limits.calls_a_connection
+    }
+
     /// How many calls one more would stand beside, if it may take one for this id at all.
     fn beside(&self, id: &TryId, to: SocketAddr, limits: &Limits) -> Option<usize> {
         let carried = self.carried.borrow();
         let stale = carried.idle_ms() >= limits.ledger_idle_ms;
-        let spent = carried.ever.len() >= limits.calls_a_connection || carried.ever.contains(id);
-        let fit = self.to == to && !carried.retired && !stale && !spent;
+        let fit = !self.over(to, limits) && !stale && !carried.ever.contains(id);
         fit.then_some(carried.out.len())
     }
 }
@@ -110,11 +115,7 @@
     while let Ok(order) = orders.recv().await {
         // One that takes no more calls ends with the last it has out.
         let to = address.get();
-        lines.retain(|line| {
-            let carried = line.carried.borrow();
-            let over = line.to != to || carried.ever.len() >= limits.calls_a_connection;
-            !(carried.retired || over && carried.out.is_empty())
-        });
+        lines.retain(|line| !(line.over(to, &limits) && line.carried.borrow().out.is_empty()));
         match order {
             Order::Call { id, number, within_ms, body } => {
                 let free = lines.iter().filter_map(|line| Some((line.beside(&id, to, &limits)?, line)));
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -48,7 +48,7 @@
     let obey = async move {
         while let Some(signal) = signals.next().await {
             if matches!(signal, Ok(Signal::Hup)) {
-                Launch::read_again(&peers, &told);
+                peers.read_again(&told);
                 let _ = move_agent.try_send(());
             } else {
                 let _ = events.send(Event::Leave).await;
