What the server's tasks say to each other stands in one module; the codec speaks the callers' side

owner, agent, ledger and sidecars took Event, Said, Order, CallOver and Outbox from one another, a circle. All of them now stand in messages, which uses none of them. Behaviour as it was: code moved, two fields made public, one method renamed.

--- a/crates/plovershelf-codec/src/front.rs
+++ b/crates/plovershelf-codec/src/front.rs
@@ -2,6 +2,8 @@
 
 use crate::{try_id, TryId};
 
+pub mod caller;
+
 /// Bounds on what one frame may hold, beside the frame's own size.
 const MOST_NESTED: u32 = 16;
 const MOST_FIELDS: usize = 64;
--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -10,47 +10,15 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use plovershelf_codec::agent::{self, Notice, RunOver};
-use plovershelf_codec::TryId;
+use plovershelf_codec::agent::{self, Notice};
 
 use crate::limits::Limits;
-use crate::owner::Event;
+use crate::messages::{Event, Said};
 use crate::streams::{gather, within, write_all, Inflow};
 
 /// The tag of the sample that tells when all notices of before have been read. Others begin at 1.
 const FENCE: u64 = 0;
 
-/// What the agent says, as the owner needs it.
-pub enum Said {
-    /// A link is up and all that was missed has been told. `orders` takes the bytes of commands.
-    Up {
-        fresh: bool,
-        up_for_ms: f64,
-        orders: Sender<Vec<u8>>,
-    },
-    /// There is no link; `all_read` where that is known of its commands.
-    Down {
-        all_read: bool,
-    },
-    RunOver {
-        id: TryId,
-        over: RunOver,
-        result: Vec<u8>,
-    },
-    WantsCall {
-        id: TryId,
-        call: Vec<u8>,
-    },
-    Sampled {
-        tag: u64,
-        gauges: Vec<f64>,
-    },
-    Refused {
-        command: String,
-        about: Vec<u8>,
-    },
-}
-
 /// Keeps a link to where the agent is. `moved` tells that the address may have changed: then the new link is
 /// made before the old one is left.
 pub async fn keep_link(
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -17,29 +17,9 @@
 use plovershelf_codec::TryId;
 
 use crate::limits::Limits;
-use crate::owner::Event;
+use crate::messages::{CallOver, Event, Order};
 use crate::streams::{gather, within, write_all, Inflow};
 
-pub enum Order {
-    Call { id: TryId, number: u64, within_ms: f64, body: Vec<u8> },
-    GiveUp { id: TryId },
-}
-
-/// How the call of a number came to its end.
-pub struct CallOver {
-    pub number: u64,
-    pub end: CallEnd,
-    /// False where the ledger knows of no run that waits for it.
-    pub wanted: bool,
-    pub reply: Vec<u8>,
-}
-
-impl CallOver {
-    pub fn without(number: u64, end: CallEnd) -> Self {
-        CallOver { number, end, wanted: true, reply: Vec::new() }
-    }
-}
-
 /// What is shared with the task of one connection.
 #[derive(Default)]
 struct Carried {
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -4,6 +4,7 @@
 mod launch;
 mod ledger;
 mod limits;
+mod messages;
 mod owner;
 mod repeats;
 mod roster;
@@ -22,7 +23,8 @@
 use futures_lite::{future, StreamExt};
 
 use launch::Launch;
-use owner::{Event, Owner};
+use messages::Event;
+use owner::Owner;
 
 fn serve(mut signals: Signals, launch: Launch) -> Result<(), String> {
     let listener = Async::<TcpListener>::bind(launch.listen)
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -20,40 +20,9 @@
 use plovershelf_codec::TryId;
 use plovershelf_facts::Start;
 
-use crate::agent::Said;
-use crate::ledger::{CallOver, Order};
 use crate::limits::Limits;
+use crate::messages::{Event, Order, Outbox};
 use crate::repeats::{Mark, Remembered};
-use crate::sidecars::Outbox;
-
-/// All that can happen to the owner from outside.
-pub enum Event {
-    Opened {
-        connection: u64,
-        outbox: Outbox,
-    },
-    Frame {
-        connection: u64,
-        frame: Vec<u8>,
-    },
-    /// The peer is gone, or what it sends can't be read any more.
-    Ended {
-        connection: u64,
-        garbled: Option<&'static str>,
-    },
-    /// Descriptors are short: an idle connection must go.
-    Crowded {
-        why: String,
-    },
-    Agent(Said),
-    /// A peer below did something wrong.
-    Odd(String),
-    CallOver {
-        id: TryId,
-        over: CallOver,
-    },
-    Leave,
-}
 
 /// What the owner does by itself when its time has come.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -7,8 +7,7 @@
 use plovershelf_codec::TryId;
 
 use super::{Due, Open, Owner, NEVER};
-use crate::agent::Said;
-use crate::ledger::{CallOver, Order};
+use crate::messages::{CallOver, Order, Said};
 
 impl Owner {
     pub(super) fn hear(&mut self, said: Said) {
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -7,8 +7,8 @@
 use plovershelf_codec::TryId;
 
 use super::{Connection, Open, Owner, NEVER};
+use crate::messages::Unwritten;
 use crate::repeats::Mark;
-use crate::sidecars::Unwritten;
 
 const ID_IN_USE: &str = "the id is in use";
 const NOT_STARTED: &str = "not started yet";
@@ -202,7 +202,7 @@
         let first = all.min_by_key(|(_, c)| (c.faults == 0 && !silent(c), c.idle_since.to_bits()));
         let Some((connection, spoke)) = first.map(|(number, c)| (*number, c.spoke)) else { return false };
         // One whose peer takes nothing would keep its descriptor until its writer gives up.
-        let unwritten = self.connections[&connection].outbox.unwritten() > 0;
+        let unwritten = self.connections[&connection].outbox.waits() > 0;
         if unwritten || !spoke {
             self.complain("a connection that says nothing makes room");
             self.lost(connection);
@@ -254,7 +254,7 @@
                 }
                 Err(Unwritten::InAll(back)) => {
                     frame = back;
-                    let most = self.connections.iter().max_by_key(|(_, peer)| peer.outbox.unwritten());
+                    let most = self.connections.iter().max_by_key(|(_, peer)| peer.outbox.waits());
                     most.map_or(connection, |(number, _)| *number)
                 }
             };
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -1,6 +1,5 @@
 use super::*;
-use crate::agent::Said;
-use crate::sidecars::Outbox;
+use crate::messages::{CallOver, Said};
 use peers::{alive, cancel, dispatch, heard, Heard, SETTINGS};
 use plovershelf::interface::CallEnd;
 use plovershelf_codec::agent::RunOver;
--- a/crates/plovershelf-server/src/sidecars.rs
+++ b/crates/plovershelf-server/src/sidecars.rs
@@ -12,84 +12,9 @@
 use plovershelf_codec::front;
 
 use crate::limits::Limits;
-use crate::owner::Event;
+use crate::messages::{written, Event, Outbox};
 use crate::streams::{gather, within, write_all, Inflow};
 
-/// Frames on their way to one connection. Dropping it ends the connection when all of them are written.
-pub struct Outbox {
-    frames: Sender<Vec<u8>>,
-    unwritten: Rc<Cell<usize>>,
-    unwritten_all: Rc<Cell<usize>>,
-    most: usize,
-    most_all: usize,
-    /// To end the connection with what is unwritten.
-    stream: Option<Rc<Async<TcpStream>>>,
-    /// Nothing more of what comes is handed on.
-    deaf: Rc<Cell<bool>>,
-}
-
-/// Why a frame is not kept for a peer.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Unwritten {
-    /// Its own connection has too much waiting, or is gone.
-    Here,
-    /// All connections together have; the frame comes back.
-    InAll(Vec<u8>),
-}
-
-impl Outbox {
-    pub fn new(
-        stream: Option<Rc<Async<TcpStream>>>,
-        unwritten_all: Rc<Cell<usize>>,
-        limits: &Limits,
-    ) -> (Self, Receiver<Vec<u8>>) {
-        let (frames, taken) = async_channel::unbounded();
-        let (most, most_all) = (limits.unwritten_each, limits.unwritten_bytes);
-        let (unwritten, deaf) = (Rc::default(), Rc::default());
-        (Outbox { frames, unwritten, unwritten_all, most, most_all, stream, deaf }, taken)
-    }
-
-    pub fn push(&self, frame: Vec<u8>) -> Result<(), Unwritten> {
-        let length = frame.len();
-        if self.unwritten_all.get() + length > self.most_all {
-            return Err(Unwritten::InAll(frame));
-        }
-        if self.unwritten.get() + length > self.most || self.frames.try_send(frame).is_err() {
-            return Err(Unwritten::Here);
-        }
-        self.unwritten.set(self.unwritten.get() + length);
-        self.unwritten_all.set(self.unwritten_all.get() + length);
-        Ok(())
-    }
-
-    pub fn unwritten(&self) -> usize {
-        self.unwritten.get()
-    }
-
-    /// What still comes is read and thrown away, so that the last answer reaches a peer that goes on writing.
-    pub fn deafen(&self) {
-        self.deaf.set(true);
-    }
-
-    pub fn is_deaf(&self) -> bool {
-        self.deaf.get()
-    }
-
-    /// Ends the connection at once; what is unwritten is not counted any longer.
-    pub fn abort(self) {
-        written(&self.unwritten, &self.unwritten_all, usize::MAX);
-        if let Some(stream) = self.stream {
-            let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
-        }
-    }
-}
-
-fn written(unwritten: &Cell<usize>, all: &Cell<usize>, bytes: usize) {
-    let bytes = bytes.min(unwritten.get());
-    unwritten.set(unwritten.get() - bytes);
-    all.set(all.get() - bytes);
-}
-
 /// Accepts until the listener's owner drops the task. `slots` is held by each connection: its count tells
 /// how many there are.
 pub async fn accept(
@@ -234,6 +159,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::messages::Unwritten;
 
     #[test]
     fn a_peer_that_takes_nothing_ends_its_writer() {
@@ -247,7 +173,7 @@
         (0..64).for_each(|_| outbox.push(vec![0; 1 << 20]).expect("room"));
         let (unwritten, all) = (outbox.unwritten.clone(), outbox.unwritten_all.clone());
         async_io::block_on(write_frames(&stream, frames, &unwritten, &all, 50));
-        assert!(outbox.unwritten() > 0);
+        assert!(outbox.waits() > 0);
         assert_eq!(outbox.push(vec![0]), Err(Unwritten::Here));
     }
 }
