--- /dev/null
+++ b/crates/plovershelf-client/src/caller/again.rs
@@ -0,0 +1,68 @@
+//! May a call be tried again, and where? The one table that rule "no effect twice" rests on.
+
+use plovershelf::interface::Repeats;
+
+/// How a try came to its end without a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryOver {
+    /// The member said that it never ran.
+    Dismissed,
+    /// It crossed the member's `closing` and was never read.
+    Crossed,
+    /// The member answered that it failed.
+    Failed,
+    /// Its connection ended, which proves nothing.
+    Lost,
+}
+
+impl TryOver {
+    /// It surely never ran.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, TryOver::Dismissed | TryOver::Crossed)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Again {
+    Anywhere,
+    /// Only where it may have run, as that member alone knows its ticket.
+    SameMember,
+    No,
+}
+
+/// | | never ran | may have run |
+/// | --- | --- | --- |
+/// | rerunnable | anywhere | anywhere |
+/// | ticketed | anywhere; the same member once a try may have run there | the same member |
+/// | exclusive | anywhere | no |
+pub fn again(repeats: Repeats, over: TryOver, may_have_run_before: bool) -> Again {
+    let unsure = may_have_run_before || !over.proves_not_run();
+    match (repeats, unsure) {
+        (Repeats::Rerunnable, _) | (_, false) => Again::Anywhere,
+        (Repeats::Ticketed, true) => Again::SameMember,
+        (Repeats::Exclusive, true) => Again::No,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn exclusive_work_goes_out_again_on_proof_only_and_ticketed_work_stays_where_it_may_have_run() {
+        use {Again::*, Repeats::*, TryOver::*};
+        for over in [Dismissed, Crossed] {
+            assert_eq!([Rerunnable, Ticketed, Exclusive].map(|r| again(r, over, false)), [Anywhere; 3]);
+            assert_eq!(
+                [Rerunnable, Ticketed, Exclusive].map(|r| again(r, over, true)),
+                [Anywhere, SameMember, No]
+            );
+        }
+        for (over, before) in [(Failed, false), (Lost, false), (Failed, true), (Lost, true)] {
+            assert_eq!(
+                [Rerunnable, Ticketed, Exclusive].map(|r| again(r, over, before)),
+                [Anywhere, SameMember, No]
+            );
+        }
+    }
+}
