Stand-ins with accounts, and the plovershelf command: demo, call, and two trials of callers

Need: the project is to be seen at work by one command, and claims are to be judged from what others saw. plovershelf-standins holds an agent with cores, a ledger, a roster, a plain caller and a tap that counts tries, marks and answers between callers and a backend; plovershelf-cli has demo, call and trial (client-overload, client-restart).

--- /dev/null
+++ b/crates/plovershelf-cli/src/demo.rs
@@ -0,0 +1,169 @@
+//! `plovershelf demo`: the project at work in ten seconds.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use clap::Args;
+use comfy_table::{presets, Table};
+use plovershelf_client::{AdviceMeaning, Builder, Terms};
+use plovershelf_standins::backend::{self, Fleet, Plan};
+use plovershelf_standins::tap::Tap;
+use plovershelf_standins::{cores, ledger, Clock, Executor};
+
+use crate::load::{self, Asker, End};
+
+#[derive(Args)]
+pub struct Options {
+    /// How long it lasts.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(2..=600))]
+    seconds: u32,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+const CLIENTS: usize = 12;
+const CORES: f64 = 4.0;
+const CROWD: f64 = 8.0;
+const GRACE_MS: f64 = 1000.0;
+
+/// Exit statuses: 0 all rules kept, 1 one broken.
+pub fn run(options: &Options) -> Result<u8, String> {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let plan = Plan {
+        program: backend::program()?,
+        backends: 1,
+        cores: cores::Shape { cores: CORES, crowd: CROWD, cold_speed: 1.0, warm_ms: 1.0 },
+        ledger: ledger::Shape { call_ms: 12.0, slots: 24, survives: 40, down_ms: 2000.0 },
+        settings: load::settings(CORES, 1, CLIENTS, 40.0, CROWD),
+        memory_mb: 64.0,
+        sockets: 512,
+        stop_ms: 2500.0,
+        logs: None,
+    };
+    let span_ms = f64::from(options.seconds) * 1000.0;
+    let capacity = CORES * 1000.0 / load::mean_work_ms();
+    // From a third of what the cores do to twice as much.
+    let demand = move |at: f64| capacity * (0.35 + 1.65 * at / span_ms);
+    let planned = Rc::new(load::schedule(options.seed, CLIENTS, span_ms, demand));
+    println!(
+        "One backend with {CORES} cores, a ledger behind it and {CLIENTS} callers before it; demand rises from 35 % of what\n\
+         the cores do to 200 % in {} s. By offering: succeeded / dismissed / given up by the caller.\n",
+        options.seconds
+    );
+    let mut fleet =
+        Fleet::start(&executor, clock, &plan).map_err(|error| format!("starting a backend: {error}"))?;
+    let run = async {
+        if !fleet.up(clock, 10_000.0).await {
+            return Err("the backend did not come up within 10 s".to_string());
+        }
+        let tap = Tap::start(&executor, clock, fleet.backends[0].address);
+        let tap = tap.map_err(|error| format!("starting a tap: {error}"))?;
+        let mut askers = Vec::new();
+        for number in 0..CLIENTS {
+            let seed = options.seed * 1000 + number as u64 + 1;
+            let terms = Terms { seed, advice: AdviceMeaning::LowestRank, ..Terms::default() };
+            let builder = Builder::new().members(&[tap.address]).number(number as u32).terms(terms);
+            let (client, drive) = builder.build()?;
+            executor.spawn(drive).detach();
+            askers.push(Asker::Library(client));
+        }
+        let names: Vec<String> =
+            load::OFFERINGS.iter().map(|o| format!("{} ({}x)", o.name, o.revenue)).collect();
+        println!("  s  demand  {}", names.iter().map(|name| format!("{name:>18}")).collect::<String>());
+        let began = clock.now();
+        let results = load::Results::default();
+        let play = load::play(&executor, clock, &planned, &askers, &results, 3000.0);
+        let show = async {
+            for second in 1..=options.seconds {
+                Timer::at(clock.at(began + f64::from(second) * 1000.0)).await;
+                let demand = 100.0 * demand(f64::from(second) * 1000.0 - 500.0) / capacity;
+                println!("{second:>3} {demand:>5.0} %  {}", line(&planned, &results.borrow(), began, second));
+            }
+        };
+        futures_lite::future::zip(play, show).await;
+        println!();
+        // The notice to leave, while nothing is asked any more.
+        fleet.backends[0].leave(GRACE_MS);
+        let mut status = None;
+        for _ in 0..400 {
+            status = fleet.backends[0].ended();
+            if status.is_some() {
+                break;
+            }
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        let sum = load::sum(&planned, &results.borrow());
+        let mut table = Table::new();
+        table.load_preset(presets::NOTHING).set_header([
+            "offering",
+            "asked",
+            "in time",
+            "late",
+            "dismissed",
+            "given up",
+            "failed",
+            "out of time",
+        ]);
+        for (offering, counts) in load::OFFERINGS.iter().zip(&sum.by_offering) {
+            let row = std::iter::once(offering.name.to_string()).chain(counts.iter().map(usize::to_string));
+            table.add_row(row);
+        }
+        println!("{table}\n");
+        let (account, seen) = (fleet.account.borrow(), tap.seen.borrow());
+        let answers = seen.answered_twice + seen.answered_late + seen.unanswered;
+        let rules = [
+            (
+                "1. One final answer to each that was read, in time",
+                answers + sum.without_result as u64 + sum.with_two as u64,
+            ),
+            ("2. No effect twice", account.ran_twice().len() as u64 + sum.wrong as u64),
+            (
+                "3. Nothing run past the grace, all answered before the stop",
+                account.launched_late + u64::from(!status.is_some_and(|s| s.success())),
+            ),
+            (
+                "4. Neither the backend nor the ledger fell",
+                u64::from(account.crowd_most > 1.0)
+                    + account.ledger_fell
+                    + u64::from(fleet.backends[0].crashes),
+            ),
+        ];
+        for (rule, broken) in rules {
+            println!(
+                "{rule}: {}",
+                if broken == 0 { "kept".to_string() } else { format!("BROKEN {broken} times") }
+            );
+        }
+        println!(
+            "\n{} asked for, {} tries reached the backend ({} of them repeats), {:.0} % of the revenue came in time.",
+            sum.calls,
+            seen.asked,
+            seen.marked.values().sum::<u64>(),
+            100.0 * sum.revenue_in_time / sum.revenue.max(1e-9)
+        );
+        Ok(u8::from(rules.iter().any(|(_, broken)| *broken > 0)))
+    };
+    async_io::block_on(executor.run(run))
+}
+
+/// What ended in one second, by offering.
+fn line(planned: &[load::Planned], results: &[Vec<load::Result>], began: f64, second: u32) -> String {
+    let mut counts = [[0; 3]; load::OFFERINGS.len()];
+    let within = |at: f64| ((at - began) / 1000.0).floor() as i64 == i64::from(second) - 1;
+    for (one, ends) in planned.iter().zip(results) {
+        for end in ends.iter().filter(|end| within(end.ended_at)) {
+            let place = match end.end {
+                End::Succeeded => 0,
+                End::Dismissed => 1,
+                End::GivenUp(_) => 2,
+                _ => continue,
+            };
+            counts[one.offering][place] += 1;
+        }
+    }
+    let told = counts
+        .map(|[well, dismissed, given_up]| format!("{:>18}", format!("{well} / {dismissed} / {given_up}")));
+    told.concat()
+}
--- /dev/null
+++ b/crates/plovershelf-cli/src/load.rs
@@ -0,0 +1,350 @@
+//! Load for trials: what is asked when, by whom, and what came of it. A schedule follows from its seed alone, so that
+//! two kinds of callers meet the very same demand.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use plovershelf_client::{Client, Invocation, Reply, Why};
+use plovershelf_standins::plain::{Asked, Ended, Plain};
+use plovershelf_standins::work::{Effect, Work};
+use plovershelf_standins::{Clock, Executor};
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp1, LogNormal};
+use rand_pcg::Pcg64;
+use serde_json::{json, Value};
+
+/// One offering of the trials' settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Offering {
+    pub name: &'static str,
+    pub effect: Effect,
+    pub revenue: f64,
+    /// Of all that is asked for.
+    pub share: f64,
+    pub work_ms: f64,
+    pub calls: u32,
+    pub contract_ms: f64,
+    pub hard_limit_ms: f64,
+}
+
+pub const TENANTS: [&str; 2] = ["north", "south"];
+
+/// A cheap offering that most ask for, one whose repeats are known by a ticket, one that may run once, and a dear one.
+pub const OFFERINGS: [Offering; 4] = [
+    Offering {
+        name: "quote",
+        effect: Effect::Rerunnable,
+        revenue: 1.0,
+        share: 0.55,
+        work_ms: 18.0,
+        calls: 1,
+        contract_ms: 700.0,
+        hard_limit_ms: 1500.0,
+    },
+    Offering {
+        name: "book",
+        effect: Effect::Ticketed,
+        revenue: 4.0,
+        share: 0.12,
+        work_ms: 22.0,
+        calls: 1,
+        contract_ms: 700.0,
+        hard_limit_ms: 1500.0,
+    },
+    Offering {
+        name: "settle",
+        effect: Effect::Exclusive,
+        revenue: 4.0,
+        share: 0.08,
+        work_ms: 22.0,
+        calls: 1,
+        contract_ms: 700.0,
+        hard_limit_ms: 1500.0,
+    },
+    Offering {
+        name: "plan",
+        effect: Effect::Rerunnable,
+        revenue: 10.0,
+        share: 0.25,
+        work_ms: 25.0,
+        calls: 1,
+        contract_ms: 700.0,
+        hard_limit_ms: 1500.0,
+    },
+];
+
+/// Work of the mean invocation.
+pub fn mean_work_ms() -> f64 {
+    OFFERINGS.iter().map(|offering| offering.share * offering.work_ms).sum()
+}
+
+/// The settings that backends of a trial are started with.
+pub fn settings(cores: f64, backends: usize, callers: usize, call_share: f64, crowd: f64) -> Value {
+    let classes: Vec<Value> = OFFERINGS
+        .iter()
+        .map(|offering| {
+            let effect = match offering.effect {
+                Effect::Rerunnable => "repeatable",
+                Effect::Ticketed => "by_key",
+                Effect::Exclusive => "once",
+            };
+            json!({"name": offering.name, "aim_ms": offering.contract_ms, "deadline_ms": offering.hard_limit_ms,
+                   "effect": effect, "dedup_window_ms": 5000.0, "gain": offering.revenue, "late_worth": 0.0})
+        })
+        .collect();
+    let tenants: Vec<Value> =
+        TENANTS.iter().map(|name| json!({"name": name, "quota_per_s": 1.0e6, "share": 0.5})).collect();
+    json!({
+        "classes": classes, "tenants": tenants, "group_size": backends,
+        "clients": {"marks_retry": true},
+        "family_info": {"cores": cores, "memory_kb": 400_000.0, "run_factor": 2.0, "entry_kb": 1.0,
+            "below": "shared", "dep_share": call_share, "linger_ms": 200.0, "halt": "abort",
+            "signal": "threshold", "senders": callers, "keepalive_max_ms": 30_000.0, "cancel_seen": true,
+            "passes_deadline": true, "meters": ["cpu_busy", "runnable", "mem_used", "sockets"]},
+        "policy_limits": {"retry_after": true, "max_retry_after_ms": 1000.0},
+        "rules": {"tip_multiple": crowd, "drain_grace_ms": 1000.0, "cold_from": 1.0, "warm_within_ms": 0.0},
+    })
+}
+
+/// One invocation of a schedule.
+#[derive(Clone, Debug)]
+pub struct Planned {
+    pub at_ms: f64,
+    pub client: usize,
+    pub offering: usize,
+    pub tenant: usize,
+    pub rank: f64,
+    pub work: Work,
+}
+
+/// What so many clients ask for, each by itself at random times. `per_second` tells the demand at a time.
+pub fn schedule(seed: u64, clients: usize, span_ms: f64, per_second: impl Fn(f64) -> f64) -> Vec<Planned> {
+    let mut chance = Pcg64::seed_from_u64(seed);
+    let most = (0..200).map(|n| per_second(span_ms * f64::from(n) / 200.0)).fold(0.001, f64::max);
+    // Work differs by itself, with a tail.
+    let spread = LogNormal::new(-0.18, 0.6).expect("fit figures");
+    let (mut planned, mut at_ms) = (Vec::new(), 0.0);
+    loop {
+        let gap: f64 = Exp1.sample(&mut chance);
+        at_ms += gap * 1000.0 / most;
+        if at_ms >= span_ms {
+            return planned;
+        }
+        if chance.random::<f64>() * most > per_second(at_ms) {
+            continue;
+        }
+        let mut draw = chance.random::<f64>();
+        let mut offering = OFFERINGS.len() - 1;
+        for (place, one) in OFFERINGS.iter().enumerate() {
+            if draw < one.share {
+                offering = place;
+                break;
+            }
+            draw -= one.share;
+        }
+        let told = OFFERINGS[offering];
+        let work = Work {
+            number: planned.len() as u64 + 1,
+            work_ms: told.work_ms * spread.sample(&mut chance),
+            calls: told.calls,
+            effect: told.effect,
+        };
+        planned.push(Planned {
+            at_ms,
+            client: chance.random_range(0..clients),
+            offering,
+            tenant: chance.random_range(0..TENANTS.len()),
+            rank: (offering as f64 + chance.random::<f64>()) / OFFERINGS.len() as f64,
+            work,
+        });
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Succeeded,
+    /// Bytes that no run of it made.
+    Wrong,
+    Dismissed,
+    Scrapped,
+    OutOfTime,
+    GivenUp(Option<Why>),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Result {
+    pub end: End,
+    pub took_ms: f64,
+    pub ended_at: f64,
+}
+
+/// What came of each, by its place in the schedule; more than one would show.
+pub type Results = Rc<RefCell<Vec<Vec<Result>>>>;
+
+/// Who asks.
+#[derive(Clone)]
+pub enum Asker {
+    Library(Client),
+    Plain(Plain),
+}
+
+impl Asker {
+    async fn ask(&self, planned: &Planned) -> End {
+        let offering = OFFERINGS[planned.offering];
+        let within = Duration::from_secs_f64(offering.hard_limit_ms / 1000.0);
+        let ticket = format!("ticket-{}", planned.work.number);
+        let (body, made) = (planned.work.body(), planned.work.result());
+        let succeeded = |result: Vec<u8>| if result == made { End::Succeeded } else { End::Wrong };
+        match self {
+            Asker::Library(client) => {
+                let mut one = Invocation::new(offering.name, body, within);
+                one = one.tenant(TENANTS[planned.tenant]).rank(planned.rank);
+                one = match offering.effect {
+                    Effect::Rerunnable => one,
+                    Effect::Ticketed => one.ticketed(ticket),
+                    Effect::Exclusive => one.exclusive(),
+                };
+                match client.call(one).await {
+                    Reply::Succeeded(result) => succeeded(result),
+                    Reply::Dismissed { .. } => End::Dismissed,
+                    Reply::Scrapped { .. } => End::Scrapped,
+                    Reply::OutOfTime { .. } => End::OutOfTime,
+                    Reply::GivenUp { why, .. } => End::GivenUp(Some(why)),
+                    Reply::Invalid(_) => End::GivenUp(None),
+                }
+            }
+            Asker::Plain(plain) => {
+                let asked = Asked {
+                    offering: offering.name,
+                    tenant: TENANTS[planned.tenant],
+                    rank: planned.rank,
+                    ticket: (offering.effect == Effect::Ticketed).then_some(&*ticket),
+                    rerunnable: offering.effect == Effect::Rerunnable,
+                    body: &body,
+                    within,
+                };
+                match plain.call(&asked).await {
+                    Ended::Succeeded(result) => succeeded(result),
+                    Ended::Dismissed => End::Dismissed,
+                    Ended::Failed => End::Scrapped,
+                }
+            }
+        }
+    }
+}
+
+/// Asks for all of a schedule at its times, from now on, and waits until all have ended or `patience_ms` after the last
+/// was asked for.
+pub async fn play(
+    executor: &Executor,
+    clock: Clock,
+    planned: &Rc<Vec<Planned>>,
+    askers: &[Asker],
+    results: &Results,
+    patience_ms: f64,
+) {
+    *results.borrow_mut() = vec![Vec::new(); planned.len()];
+    let began = clock.now();
+    let left = Rc::new(RefCell::new(planned.len()));
+    for place in 0..planned.len() {
+        let at = began + planned[place].at_ms;
+        if at > clock.now() {
+            Timer::at(clock.at(at)).await;
+        }
+        let (asker, planned) = (askers[planned[place].client].clone(), planned.clone());
+        let (results, left) = (results.clone(), left.clone());
+        let ask = async move {
+            let asked_at = clock.now();
+            let end = asker.ask(&planned[place]).await;
+            let ended_at = clock.now();
+            results.borrow_mut()[place].push(Result { end, took_ms: ended_at - asked_at, ended_at });
+            *left.borrow_mut() -= 1;
+        };
+        executor.spawn(ask).detach();
+    }
+    let until = clock.now() + patience_ms;
+    while *left.borrow() > 0 && clock.now() < until {
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+/// What a played schedule came to.
+#[derive(Clone, Debug, Default)]
+pub struct Sum {
+    pub calls: usize,
+    pub without_result: usize,
+    pub with_two: usize,
+    /// After the hard limit by more than 50 ms.
+    pub late: usize,
+    pub wrong: usize,
+    pub revenue: f64,
+    /// What came inside the contract time.
+    pub revenue_in_time: f64,
+    /// By offering: asked, in time, late, dismissed, given up here, failed, out of time.
+    pub by_offering: [[usize; 7]; OFFERINGS.len()],
+}
+
+pub fn sum(planned: &[Planned], results: &[Vec<Result>]) -> Sum {
+    let mut sum = Sum { calls: planned.len(), ..Sum::default() };
+    for (one, ends) in planned.iter().zip(results) {
+        let offering = OFFERINGS[one.offering];
+        sum.revenue += offering.revenue;
+        sum.without_result += usize::from(ends.is_empty());
+        sum.with_two += usize::from(ends.len() > 1);
+        let counts = &mut sum.by_offering[one.offering];
+        counts[0] += 1;
+        let Some(result) = ends.first() else { continue };
+        sum.late += usize::from(result.took_ms > offering.hard_limit_ms + 50.0);
+        let place = match result.end {
+            End::Succeeded if result.took_ms <= offering.contract_ms => {
+                sum.revenue_in_time += offering.revenue;
+                1
+            }
+            End::Succeeded => 2,
+            End::Dismissed => 3,
+            End::GivenUp(_) => 4,
+            End::Wrong | End::Scrapped => 5,
+            End::OutOfTime => 6,
+        };
+        sum.wrong += usize::from(result.end == End::Wrong);
+        counts[place] += 1;
+    }
+    sum
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_schedule_follows_from_its_seed_and_keeps_to_its_demand() {
+        let of = |seed| schedule(seed, 40, 10_000.0, |_| 500.0);
+        let (one, same, other) = (of(1), of(1), of(2));
+        assert!((4500..5500).contains(&one.len()), "{}", one.len());
+        let times = |plan: &[Planned]| plan.iter().map(|p| (p.at_ms.to_bits(), p.client)).collect::<Vec<_>>();
+        assert!(times(&one) == times(&same) && times(&one) != times(&other));
+        let mean = one.iter().map(|p| p.work.work_ms).sum::<f64>() / one.len() as f64;
+        assert!((mean / mean_work_ms() - 1.0).abs() < 0.1, "{mean}");
+    }
+
+    #[test]
+    fn revenue_counts_inside_the_contract_time_and_doubles_and_gaps_show() {
+        let plan = schedule(3, 1, 100.0, |_| 100.0);
+        let well = Result { end: End::Succeeded, took_ms: 10.0, ended_at: 0.0 };
+        let slow = Result { took_ms: 900.0, ..well };
+        let results: Vec<Vec<Result>> = (0..plan.len())
+            .map(|n| match n {
+                0 => vec![],
+                1 => vec![well, well],
+                2 => vec![slow],
+                _ => vec![well],
+            })
+            .collect();
+        let sum = sum(&plan, &results);
+        assert_eq!((sum.without_result, sum.with_two, sum.late), (1, 1, 0));
+        let missing = OFFERINGS[plan[0].offering].revenue + OFFERINGS[plan[2].offering].revenue;
+        assert!((sum.revenue - sum.revenue_in_time - missing).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-cli/src/main.rs
@@ -0,0 +1,77 @@
+//! The `plovershelf` command. One file a sub-command; none asks a question.
+
+mod call;
+mod demo;
+mod load;
+mod trial;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use tracing_subscriber::EnvFilter;
+
+/// Admission and scheduling for servers behind balancers they do not control: callers, trials, a demonstration.
+#[derive(Parser)]
+#[command(name = "plovershelf", version)]
+struct Arguments {
+    /// The form of the log on standard error; PLOVERSHELF_LOG filters it, as in `plovershelf_client=debug`.
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// One backend among stand-ins, and callers whose demand rises past its cores; ends with an account of the four rules.
+    Demo(demo::Options),
+    /// One invocation to running backends.
+    Call(call::Options),
+    /// Measures a claim on real processes; `plovershelf trial --list` names all.
+    Trial(trial::Options),
+}
+
+fn log(format: LogFormat) {
+    let filter = EnvFilter::try_from_env("PLOVERSHELF_LOG").unwrap_or_else(|_| EnvFilter::new("warn"));
+    let lines =
+        tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_env_filter(filter);
+    match format {
+        LogFormat::Text => lines.init(),
+        LogFormat::Json => lines.json().init(),
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    log(arguments.log_format);
+    let done = match arguments.command {
+        Command::Demo(options) => demo::run(&options),
+        Command::Call(options) => call::run(&options),
+        Command::Trial(options) => trial::run(&options),
+    };
+    match done {
+        Ok(status) => ExitCode::from(status),
+        Err(message) => {
+            eprintln!("plovershelf: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_commands_arguments_agree_with_each_other() {
+        use clap::CommandFactory;
+        Arguments::command().debug_assert();
+        assert!(Arguments::try_parse_from(["plovershelf", "trial", "--seconds", "many"]).is_err());
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-cli/src/trial/client_restart.rs
@@ -0,0 +1,146 @@
+//! All backends end at once and are started again: how their callers come back.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use plovershelf_client::{AdviceMeaning, Builder, Client, Terms};
+use plovershelf_standins::backend::Fleet;
+use plovershelf_standins::tap::Tap;
+use plovershelf_standins::Clock;
+
+use super::client_overload::{capacity, plan};
+use super::{Aim, Figures, Ground};
+use crate::load::{self, Asker, End};
+
+const BACKENDS: usize = 3;
+const CLIENTS: usize = 200;
+/// The part of what the cores do that is asked for.
+const DEMAND: f64 = 0.5;
+const CALM_MS: f64 = 4000.0;
+const DOWN_MS: f64 = 1000.0;
+
+pub fn run(ground: &Ground) -> Result<Figures, String> {
+    let executor = &ground.executor;
+    let clock = Clock::start();
+    let span_ms =
+        ground.seconds.map_or(16_000.0, |seconds| (seconds * 1000.0).max(CALM_MS + DOWN_MS + 8000.0));
+    let demand = DEMAND * capacity(BACKENDS);
+    let planned = Rc::new(load::schedule(ground.seed, CLIENTS, span_ms, |_| demand));
+    let plan = plan(ground, BACKENDS, CLIENTS);
+    let mut fleet =
+        Fleet::start(executor, clock, &plan).map_err(|error| format!("starting backends: {error}"))?;
+    let run = async {
+        if !fleet.up(clock, 10_000.0).await {
+            return Err("the backends did not come up within 10 s".to_string());
+        }
+        let taps: Result<Vec<Tap>, _> =
+            fleet.addresses().into_iter().map(|to| Tap::start(executor, clock, to)).collect();
+        let mut taps = taps.map_err(|error| format!("starting taps: {error}"))?;
+        let members: Vec<_> = taps.iter().map(|tap| tap.address).collect();
+        let mut clients: Vec<Client> = Vec::new();
+        for number in 0..CLIENTS {
+            let terms = Terms {
+                seed: ground.seed * 1000 + number as u64 + 1,
+                advice: AdviceMeaning::LowestRank,
+                ..Terms::default()
+            };
+            let builder = Builder::new().members(&members).number(number as u32).terms(terms);
+            let (client, drive) = builder.build()?;
+            executor.spawn(drive).detach();
+            clients.push(client);
+        }
+        let askers: Vec<Asker> = clients.iter().cloned().map(Asker::Library).collect();
+        let began = clock.now();
+        // When all were killed, when the last was ready again, connection attempts before and a while after.
+        let times: Rc<RefCell<(f64, f64)>> = Rc::default();
+        let attempts: Rc<RefCell<(u64, u64)>> = Rc::default();
+        let trouble = async {
+            Timer::at(clock.at(began + CALM_MS)).await;
+            attempts.borrow_mut().0 = connects(&clients).await;
+            for (tap, backend) in taps.iter_mut().zip(&mut fleet.backends) {
+                tap.down();
+                let _ = backend.kill();
+            }
+            times.borrow_mut().0 = clock.now();
+            Timer::after(Duration::from_secs_f64(DOWN_MS / 1000.0)).await;
+            for backend in &mut fleet.backends {
+                let _ = backend.start();
+            }
+            let lives: Vec<u32> = fleet.backends.iter().map(|backend| backend.agent.lives()).collect();
+            let until = clock.now() + 10_000.0;
+            let back =
+                |lives: &[u32]| fleet.backends.iter().zip(lives).all(|(b, before)| b.agent.lives() > *before);
+            while !(back(&lives) && fleet.up(clock, 1.0).await) && clock.now() < until {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            taps.iter_mut().for_each(|tap| drop(tap.up()));
+            times.borrow_mut().1 = clock.now();
+            Timer::at(clock.at(clock.now() + 6000.0)).await;
+            attempts.borrow_mut().1 = connects(&clients).await;
+        };
+        let results = load::Results::default();
+        let play = load::play(executor, clock, &planned, &askers, &results, 4000.0);
+        futures_lite::future::zip(play, trouble).await;
+        let (killed, ready) = *times.borrow();
+        let sum = load::sum(&planned, &results.borrow());
+
+        // The first connection of each caller after the kill.
+        let mut first: BTreeMap<u32, f64> = BTreeMap::new();
+        for tap in &taps {
+            for (made, caller) in &tap.seen.borrow().connections {
+                if let Some(caller) = caller.filter(|_| *made > killed) {
+                    let at = first.entry(caller).or_insert(*made);
+                    *at = at.min(*made);
+                }
+            }
+        }
+        let mut made: Vec<f64> = first.values().copied().collect();
+        made.sort_by(f64::total_cmp);
+        let at =
+            |part: f64| made.get(((made.len() as f64 - 1.0) * part).round() as usize).copied().unwrap_or(0.0);
+        let spread = at(0.99) - at(0.01);
+        let most = made
+            .iter()
+            .map(|from| made.iter().filter(|at| (*from..from + 100.0).contains(*at)).count())
+            .max();
+        // Full service is back from the first half second on in which, and in all after it, 95 in a hundred succeed.
+        let mut halves: BTreeMap<u64, (u32, u32)> = BTreeMap::new();
+        for (one, ends) in planned.iter().zip(results.borrow().iter()) {
+            let half = halves.entry(((began + one.at_ms) / 500.0) as u64).or_default();
+            half.0 += 1;
+            half.1 += u32::from(ends.iter().any(|end| end.end == End::Succeeded));
+        }
+        let bad = |(asked, well): &(u32, u32)| *asked > 0 && f64::from(*well) < 0.95 * f64::from(*asked);
+        let last_bad =
+            halves.iter().rfind(|(half, counts)| **half as f64 * 500.0 > killed && bad(counts));
+        let full = last_bad.map_or(ready, |(half, _)| (*half as f64 + 1.0) * 500.0);
+        let (before, after) = *attempts.borrow();
+        let account = fleet.account.borrow();
+        let mut figures = Figures::default();
+        figures.told("clients", CLIENTS as f64);
+        figures.told("clients_back", made.len() as f64);
+        figures.put("reconnect_spread_ms", spread, Aim::AtLeast(2000.0));
+        figures.put("worst_tenth_second_share", most.unwrap_or(0) as f64 / CLIENTS as f64, Aim::AtMost(0.15));
+        figures.told("reconnect_attempts_per_client", (after - before) as f64 / CLIENTS as f64);
+        figures.put("calls_without_result", sum.without_result as f64, Aim::AtMost(0.0));
+        figures.put("calls_with_two_results", sum.with_two as f64, Aim::AtMost(0.0));
+        figures.put("results_late", sum.late as f64, Aim::AtMost(0.0));
+        figures.told("seconds_to_full_service", (full - ready).max(0.0) / 1000.0);
+        let beyond = ((full - ready).max(0.0) - spread) / 1000.0;
+        figures.put("seconds_beyond_the_spread", beyond.max(0.0), Aim::AtMost(3.0));
+        figures.put("ran_twice", account.ran_twice().len() as f64, Aim::AtMost(0.0));
+        Ok(figures)
+    };
+    async_io::block_on(executor.run(run))
+}
+
+async fn connects(clients: &[Client]) -> u64 {
+    let mut sum = 0;
+    for client in clients {
+        sum += client.counts().await.connects;
+    }
+    sum
+}
--- /dev/null
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -0,0 +1,183 @@
+//! `plovershelf trial`: starts real backends with stand-ins on loopback, causes the trouble, and judges from what the
+//! stand-ins and callers saw.
+
+mod client_overload;
+mod client_restart;
+
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use clap::Args;
+use comfy_table::{presets, Table};
+use plovershelf_standins::{backend, Executor};
+use serde_json::{Map, Value};
+
+#[derive(Args)]
+pub struct Options {
+    /// Which trial.
+    #[arg(required_unless_present = "list")]
+    name: Option<String>,
+    /// Name all trials.
+    #[arg(long)]
+    list: bool,
+    /// For all chance.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How long the load lasts; each trial has a default.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(2..=3600))]
+    pub seconds: Option<u32>,
+    /// One JSON object instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// A folder for the backends' logs.
+    #[arg(long, value_name = "FOLDER")]
+    pub logs: Option<PathBuf>,
+}
+
+/// What a figure has to be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Aim {
+    Under(f64),
+    AtMost(f64),
+    AtLeast(f64),
+    /// Told for the reader; judged by nobody.
+    Told,
+}
+
+impl Aim {
+    fn holds(self, value: f64) -> bool {
+        match self {
+            Aim::Under(bound) => value < bound,
+            Aim::AtMost(bound) => value <= bound,
+            Aim::AtLeast(bound) => value >= bound,
+            Aim::Told => true,
+        }
+    }
+
+    fn text(self) -> String {
+        match self {
+            Aim::Under(bound) => format!("under {bound}"),
+            Aim::AtMost(bound) => format!("at most {bound}"),
+            Aim::AtLeast(bound) => format!("at least {bound}"),
+            Aim::Told => String::new(),
+        }
+    }
+}
+
+/// The figures of a trial, in the order of its table.
+#[derive(Debug, Default)]
+pub struct Figures(Vec<(&'static str, f64, Aim)>);
+
+impl Figures {
+    pub fn put(&mut self, key: &'static str, value: f64, aim: Aim) {
+        self.0.push((key, (value * 1e4).round() / 1e4, aim));
+    }
+
+    pub fn told(&mut self, key: &'static str, value: f64) {
+        self.put(key, value, Aim::Told);
+    }
+
+    fn hold(&self) -> bool {
+        self.0.iter().all(|(_, value, aim)| aim.holds(*value))
+    }
+
+    fn json(&self, name: &str, seed: u64) -> Value {
+        let mut object = Map::new();
+        object.insert("trial".into(), name.into());
+        object.insert("seed".into(), seed.into());
+        for (key, value, _) in &self.0 {
+            let whole = value.fract() == 0.0 && value.abs() < 1e15;
+            let value: Value = if whole { (*value as i64).into() } else { (*value).into() };
+            object.insert((*key).into(), value);
+        }
+        object.insert("held".into(), self.hold().into());
+        object.into()
+    }
+
+    fn table(&self) -> Table {
+        let mut table = Table::new();
+        table.load_preset(presets::NOTHING).set_header(["figure", "measured", "aim", ""]);
+        for (key, value, aim) in &self.0 {
+            let verdict = match aim {
+                Aim::Told => "",
+                _ if aim.holds(*value) => "held",
+                _ => "FELL SHORT",
+            };
+            table.add_row([key.to_string(), format!("{value}"), aim.text(), verdict.into()]);
+        }
+        table
+    }
+}
+
+/// What a trial needs to run.
+pub struct Ground {
+    pub executor: Executor,
+    pub program: PathBuf,
+    pub seed: u64,
+    pub seconds: Option<f64>,
+    pub logs: Option<PathBuf>,
+}
+
+type Run = fn(&Ground) -> Result<Figures, String>;
+
+const TRIALS: [(&str, &str, Run); 2] = [
+    (
+        "client-overload",
+        "three backends, forty callers, 160 % of what the cores do; against a plain caller",
+        client_overload::run,
+    ),
+    (
+        "client-restart",
+        "two hundred callers whose backends are all killed and started again",
+        client_restart::run,
+    ),
+];
+
+/// Exit statuses: 0 every claim held, 1 one fell short; an error is a trial that could not run.
+pub fn run(options: &Options) -> Result<u8, String> {
+    if options.list {
+        TRIALS.iter().for_each(|(name, about, _)| println!("{name:18} {about}"));
+        return Ok(0);
+    }
+    let wanted = options.name.as_deref().unwrap_or_default();
+    let known = TRIALS.iter().find(|(name, ..)| *name == wanted);
+    let (name, _, run) =
+        known.ok_or_else(|| format!("no trial {wanted:?}; `plovershelf trial --list` names all"))?;
+    if let Some(logs) = &options.logs {
+        std::fs::create_dir_all(logs).map_err(|error| format!("{}: {error}", logs.display()))?;
+    }
+    let ground = Ground {
+        executor: Rc::new(async_executor::LocalExecutor::new()),
+        program: backend::program()?,
+        seed: options.seed,
+        seconds: options.seconds.map(f64::from),
+        logs: options.logs.clone(),
+    };
+    let figures = run(&ground)?;
+    if options.json {
+        println!("{}", figures.json(name, options.seed));
+    } else {
+        println!("trial {name}, seed {}\n{}", options.seed, figures.table());
+    }
+    Ok(u8::from(!figures.hold()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_figure_that_falls_short_fails_the_trial_and_keys_keep_their_names() {
+        let mut figures = Figures::default();
+        figures.put("retry_share", 0.099_99, Aim::Under(0.1));
+        figures.told("calls", 12.0);
+        assert!(figures.hold());
+        figures.put("results_late", 1.0, Aim::AtMost(0.0));
+        assert!(!figures.hold());
+        let told = figures.json("t", 3).to_string();
+        assert_eq!(
+            told,
+            r#"{"trial":"t","seed":3,"retry_share":0.1,"calls":12,"results_late":1,"held":false}"#
+        );
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-standins/src/cores.rs
@@ -0,0 +1,120 @@
+//! Cores that running work shares evenly: slow when just started, and beyond a crowd less gets done the more there is.
+
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub cores: f64,
+    /// Running work, a core, beyond which less gets done.
+    pub crowd: f64,
+    /// Speed at the start, and how long until it is whole.
+    pub cold_speed: f64,
+    pub warm_ms: f64,
+}
+
+#[derive(Debug)]
+pub struct Cores<K> {
+    shape: Shape,
+    started: f64,
+    now: f64,
+    /// Multiplies speed, for slow spells.
+    pub pace: f64,
+    left: BTreeMap<K, f64>,
+    busy_ms: f64,
+}
+
+impl<K: Copy + Ord> Cores<K> {
+    pub fn new(shape: Shape, now: f64) -> Self {
+        Cores { shape, started: now, now, pace: 1.0, left: BTreeMap::new(), busy_ms: 0.0 }
+    }
+
+    /// How fast each piece of work goes on, in milliseconds of work a millisecond.
+    fn rate(&self, now: f64) -> f64 {
+        let count = self.left.len() as f64;
+        if count == 0.0 {
+            return 0.0;
+        }
+        let Shape { cores, crowd, cold_speed, warm_ms } = self.shape;
+        let warm = ((now - self.started) / warm_ms.max(1.0)).clamp(0.0, 1.0);
+        let speed = cold_speed + (1.0 - cold_speed) * warm;
+        let share = (cores / count).min(1.0);
+        self.pace * speed * share * (crowd * cores / count).min(1.0)
+    }
+
+    /// Lets time pass; hands back what has ended.
+    pub fn advance(&mut self, now: f64) -> Vec<K> {
+        let mut ended = Vec::new();
+        while self.now < now {
+            // In steps in which neither the crowd nor the warmth changes much.
+            let rate = self.rate(self.now);
+            let least = self.left.values().copied().fold(f64::INFINITY, f64::min);
+            let step = if rate > 0.0 { (least / rate).clamp(0.001, 50.0) } else { 50.0 };
+            let step = step.min(now - self.now);
+            self.busy_ms += (self.left.len() as f64 / self.shape.cores).min(1.0) * step;
+            self.left.values_mut().for_each(|left| *left -= rate * step);
+            self.now += step;
+            ended.extend(self.left.iter().filter(|(_, left)| **left <= 1e-6).map(|(key, _)| *key));
+            self.left.retain(|_, left| *left > 1e-6);
+        }
+        ended
+    }
+
+    pub fn begin(&mut self, key: K, work_ms: f64) {
+        self.left.insert(key, work_ms.max(0.001));
+    }
+
+    pub fn stop(&mut self, key: &K) -> bool {
+        self.left.remove(key).is_some()
+    }
+
+    /// When the next is likely to end, if nothing changes.
+    pub fn next_end(&self) -> Option<f64> {
+        let least = self.left.values().copied().fold(f64::INFINITY, f64::min);
+        let rate = self.rate(self.now);
+        (rate > 0.0).then(|| self.now + (least / rate).min(50.0))
+    }
+
+    pub fn running(&self) -> usize {
+        self.left.len()
+    }
+
+    /// The part of the cores that was busy since this was last asked.
+    pub fn busy_since(&mut self, span_ms: f64) -> f64 {
+        (std::mem::take(&mut self.busy_ms) / span_ms.max(0.001)).clamp(0.0, 1.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WARM: Shape = Shape { cores: 2.0, crowd: 4.0, cold_speed: 1.0, warm_ms: 1.0 };
+
+    #[test]
+    fn work_shares_the_cores_and_a_crowd_gets_less_done() {
+        let done = |count: u32, shape: Shape| {
+            let mut cores = Cores::new(shape, 0.0);
+            (0..count).for_each(|key| cores.begin(key, 10.0));
+            let mut now = 0.0;
+            while cores.running() > 0 {
+                now += 0.5;
+                cores.advance(now);
+            }
+            now
+        };
+        assert!((done(2, WARM) - 10.0).abs() < 1.0);
+        assert!((done(8, WARM) - 40.0).abs() < 1.0);
+        assert!((done(16, WARM) - 160.0).abs() < 1.0);
+        let cold = Shape { cold_speed: 0.5, warm_ms: 1e9, ..WARM };
+        assert!((done(2, cold) - 20.0).abs() < 1.0);
+    }
+
+    #[test]
+    fn what_is_stopped_never_ends() {
+        let mut cores = Cores::new(WARM, 0.0);
+        cores.begin(1, 5.0);
+        cores.begin(2, 5.0);
+        assert!(cores.stop(&1) && !cores.stop(&1));
+        assert_eq!(cores.advance(20.0), [2]);
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-standins/src/lib.rs
@@ -0,0 +1,34 @@
+//! Stand-ins on loopback for those that a backend talks to: an agent with cores, a ledger, a roster, and a plain caller to
+//! compare with. Each is written from the protocol, can be told to misbehave, and keeps an account of what it saw, by
+//! which trials judge: never by what the backend says of itself. All run on one thread's executor.
+
+pub mod account;
+pub mod agent;
+pub mod backend;
+pub mod cores;
+pub mod ledger;
+pub mod plain;
+pub mod tap;
+pub mod work;
+
+use std::rc::Rc;
+use std::time::Instant;
+
+/// The executor that all stand-ins of a trial run on.
+pub type Executor = Rc<async_executor::LocalExecutor<'static>>;
+
+/// One clock for all of a trial, in milliseconds since it began.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+    pub fn now(&self) -> f64 {
+        self.0.elapsed().as_secs_f64() * 1000.0
+    }
+    pub fn at(&self, ms: f64) -> Instant {
+        self.0 + std::time::Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-standins/src/tap.rs
@@ -0,0 +1,170 @@
+//! Stands between callers and one backend, passes every byte on, and keeps the account of what was asked and answered:
+//! so tries, marks, answers and connections are counted by neither side's own word.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+use async_executor::Task;
+use async_io::Async;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use plovershelf_codec::front::caller::{hear, take, Heard};
+use plovershelf_codec::front::{decode, Message};
+
+use crate::{Clock, Executor};
+
+/// What was seen, by tenths of a second where that matters.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub firsts: BTreeMap<u64, u64>,
+    pub marked: BTreeMap<u64, u64>,
+    /// When each connection was made, and the number of the caller that spoke on it.
+    pub connections: Vec<(f64, Option<u32>)>,
+    pub asked: u64,
+    pub answered: u64,
+    pub dismissed: u64,
+    /// Answers beyond the first, or to nothing.
+    pub answered_twice: u64,
+    /// Later than the caller's told wait by more than 50 ms.
+    pub answered_late: u64,
+    /// The backend ended a connection with these open, not having said `closing` before they were written.
+    pub unanswered: u64,
+}
+
+pub struct Tap {
+    pub address: SocketAddr,
+    pub seen: Rc<RefCell<Seen>>,
+    to: SocketAddr,
+    clock: Clock,
+    executor: Executor,
+    accepting: Option<Task<()>>,
+}
+
+impl Tap {
+    /// A tap that passes connections on to a backend.
+    pub fn start(executor: &Executor, clock: Clock, to: SocketAddr) -> std::io::Result<Self> {
+        let address = TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
+        let (seen, executor) = (Rc::default(), executor.clone());
+        let mut tap = Tap { address, seen, to, clock, executor, accepting: None };
+        tap.up()?;
+        Ok(tap)
+    }
+
+    /// Connections are refused from now on, and those that there are end.
+    pub fn down(&mut self) {
+        self.accepting = None;
+    }
+
+    pub fn up(&mut self) -> std::io::Result<()> {
+        let listener = Async::<TcpListener>::bind(self.address)?;
+        let (seen, to, clock) = (self.seen.clone(), self.to, self.clock);
+        let executor = self.executor.clone();
+        let accept = async move {
+            let mut lines: Vec<Task<()>> = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                lines.retain(|line| !line.is_finished());
+                lines.push(executor.spawn(pass(stream, to, clock, seen.clone())));
+            }
+        };
+        self.accepting = Some(self.executor.spawn(accept));
+        Ok(())
+    }
+}
+
+/// What is open on one connection: when it is due at the latest, and whether it was given up.
+#[derive(Default)]
+struct Open {
+    due: BTreeMap<i32, (f64, bool)>,
+    closing: bool,
+}
+
+async fn pass(near: Async<TcpStream>, to: SocketAddr, clock: Clock, seen: Rc<RefCell<Seen>>) {
+    let place = {
+        let mut seen = seen.borrow_mut();
+        seen.connections.push((clock.now(), None));
+        seen.connections.len() - 1
+    };
+    let Ok(far) = Async::<TcpStream>::connect(to).await else { return };
+    let _ = near.get_ref().set_nodelay(true);
+    let _ = far.get_ref().set_nodelay(true);
+    let open = RefCell::new(Open::default());
+    let asked = |frame: &[u8]| {
+        let (now, mut seen, mut open) = (clock.now(), seen.borrow_mut(), open.borrow_mut());
+        match decode(frame) {
+            Ok(Message::Dispatch { seqid, invocation }) => {
+                let tenth = (now / 100.0) as u64;
+                seen.asked += 1;
+                let times = if invocation.marked_repeat { &mut seen.marked } else { &mut seen.firsts };
+                *times.entry(tenth).or_default() += 1;
+                seen.connections[place].1 = seen.connections[place].1.or(caller_number(frame));
+                let crossed = open.closing;
+                open.due.insert(seqid, (now + invocation.waits_ms.unwrap_or(f64::INFINITY), crossed));
+            }
+            Ok(Message::Cancel { seqid }) => {
+                open.due.entry(seqid).and_modify(|(_, given_up)| *given_up = true);
+            }
+            _ => {}
+        }
+    };
+    let answered = |frame: &[u8]| {
+        let (now, mut seen, mut open) = (clock.now(), seen.borrow_mut(), open.borrow_mut());
+        let seqid = match hear(frame) {
+            Ok(Heard::Dismissed { seqid, .. }) => {
+                seen.dismissed += 1;
+                seqid
+            }
+            Ok(
+                Heard::Succeeded { seqid, .. }
+                | Heard::Scrapped { seqid, .. }
+                | Heard::Complaint { seqid, .. },
+            ) => seqid,
+            Ok(Heard::Closing) => {
+                open.closing = true;
+                return;
+            }
+            _ => return,
+        };
+        seen.answered += 1;
+        match open.due.remove(&seqid) {
+            Some((due, given_up)) => seen.answered_late += u64::from(!given_up && now > due + 50.0),
+            None => seen.answered_twice += 1,
+        }
+    };
+    // Tells whether the side that was read from has ended.
+    let there = async { forward(&near, &far, asked).await };
+    let back = async { forward(&far, &near, answered).await };
+    let by_backend = future::or(async { !there.await }, back).await;
+    if by_backend {
+        let left = open.borrow().due.values().filter(|(_, given_up)| !given_up).count();
+        seen.borrow_mut().unanswered += left as u64;
+    }
+}
+
+/// Passes bytes on and shows each whole frame; true when the side that is read from has ended.
+async fn forward(from: &Async<TcpStream>, to: &Async<TcpStream>, mut show: impl FnMut(&[u8])) -> bool {
+    let (mut bytes, mut chunk) = (Vec::new(), vec![0; 16 << 10]);
+    while let Ok(count) = (&mut &*from).read(&mut chunk).await {
+        if count == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&chunk[..count]);
+        let mut used = 0;
+        while let Ok(Some((frame, length))) = take(&bytes[used..], 1 << 20) {
+            show(frame);
+            used += length;
+        }
+        bytes.drain(..used);
+        if (&mut &*to).write_all(&chunk[..count]).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// The field `f` of a dispatch, which backends have no use for.
+fn caller_number(frame: &[u8]) -> Option<u32> {
+    let place = frame.windows(5).position(|bytes| bytes == b"\0\0\0\x01f")? + 5;
+    let length = u32::from_be_bytes(frame.get(place..place + 4)?.try_into().ok()?) as usize;
+    std::str::from_utf8(frame.get(place + 4..place + 4 + length)?).ok()?.parse().ok()
+}
