--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # CI runs `make lint build test`; `make run` starts one backend with the configuration named by CONFIG.
 CONFIG ?= $(RELAY_CONFIG)
 
-.PHONY: all build test lint run
+.PHONY: all build test lint run demo
 
 all: lint build test
 
@@ -17,3 +17,6 @@
 
 run: build
 	RELAY_CONFIG=$(CONFIG) target/release/plovershelf-server
+
+demo: build
+	target/release/plovershelf demo
--- /dev/null
+++ b/crates/plovershelf-server/tests/clients.rs
@@ -0,0 +1,159 @@
+//! Clients of the library against the program itself, among stand-ins, while backends come and go.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use plovershelf_client::{Builder, Client, Invocation, Reply, Terms};
+use plovershelf_standins::backend::{Fleet, Plan};
+use plovershelf_standins::work::{Effect, Work};
+use plovershelf_standins::{cores, ledger, Clock, Executor};
+use serde_json::json;
+
+fn plan(backends: usize) -> Plan {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aim_ms": 4000.0, "deadline_ms": 6000.0, "effect": effect, "gain": 1.0,
+               "dedup_window_ms": 20_000.0})
+    };
+    Plan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_plovershelf-server")),
+        backends,
+        cores: cores::Shape { cores: 4.0, crowd: 8.0, cold_speed: 1.0, warm_ms: 1.0 },
+        ledger: ledger::Shape { call_ms: 5.0, slots: 30, survives: 60, down_ms: 500.0 },
+        settings: json!({
+            "classes": [class("plain", "repeatable"), class("marked", "by_key"), class("single", "once")],
+            "tenants": [{"name": "north", "quota_per_s": 1.0e6}], "group_size": backends,
+            "clients": {"marks_retry": true},
+            "family_info": {"cores": 4, "memory_kb": 400_000.0, "run_factor": 2.0, "entry_kb": 1.0,
+                "below": "shared", "dep_share": 20.0, "halt": "abort", "signal": "threshold", "senders": 4,
+                "keepalive_max_ms": 30_000.0, "passes_deadline": true, "meters": ["cpu_busy", "runnable"]},
+            "policy_limits": {"retry_after": true, "max_retry_after_ms": 1000.0},
+            "rules": {"tip_multiple": 8.0, "drain_grace_ms": 300.0, "cold_from": 1.0}}),
+        memory_mb: 64.0,
+        sockets: 512,
+        stop_ms: 1200.0,
+        logs: None,
+    }
+}
+
+fn terms(seed: u64) -> Terms {
+    Terms { seed, reconnect_spread_ms: 400.0, reconnect_most_ms: 500.0, ..Terms::default() }
+}
+
+fn invocation(work: &Work) -> Invocation {
+    let within = Duration::from_millis(5000);
+    match work.effect {
+        Effect::Rerunnable => Invocation::new("plain", work.body(), within).tenant("north"),
+        Effect::Ticketed => Invocation::new("marked", work.body(), within)
+            .tenant("north")
+            .ticketed(format!("t{}", work.number)),
+        Effect::Exclusive => Invocation::new("single", work.body(), within).tenant("north").exclusive(),
+    }
+}
+
+/// Asks for work of all three effects in turn, a few at a time, until told to stop; hands back each one's end.
+async fn ask(client: Client, first: u64, stop: Rc<std::cell::Cell<bool>>) -> BTreeMap<u64, (Work, Reply)> {
+    let mut ends = BTreeMap::new();
+    let mut number = first;
+    while !stop.get() {
+        let works: Vec<Work> = (0..6)
+            .map(|n| {
+                let effect = [Effect::Rerunnable, Effect::Ticketed, Effect::Exclusive][n % 3];
+                Work { number: number + n as u64, work_ms: 4.0, calls: 1, effect }
+            })
+            .collect();
+        number += 6;
+        let calls: Vec<_> = works.iter().map(|work| client.call(invocation(work))).collect();
+        for (work, call) in works.into_iter().zip(calls) {
+            ends.insert(work.number, (work, call.await));
+        }
+        Timer::after(Duration::from_millis(10)).await;
+    }
+    ends
+}
+
+/// Runs clients against backends while `trouble` is caused, then judges: every call has one end, none ran twice that
+/// must not, and results are those that a run made. Hands back the share that succeeded.
+fn under(backends: usize, trouble: impl AsyncFnOnce(&mut Fleet, Clock)) -> f64 {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let mut fleet = Fleet::start(&executor, clock, &plan(backends)).expect("backends");
+    let run = async {
+        assert!(fleet.up(clock, 20_000.0).await, "the backends do not come up");
+        let stop = Rc::new(std::cell::Cell::new(false));
+        let members = fleet.addresses();
+        let asking: Vec<_> = (0..4u64)
+            .map(|n| {
+                let (client, drive) = Builder::new()
+                    .members(&members)
+                    .number(n as u32)
+                    .terms(terms(n + 1))
+                    .build()
+                    .expect("a client");
+                executor.spawn(drive).detach();
+                executor.spawn(ask(client, n * 1_000_000 + 1, stop.clone()))
+            })
+            .collect();
+        Timer::after(Duration::from_millis(500)).await;
+        trouble(&mut fleet, clock).await;
+        Timer::after(Duration::from_millis(1500)).await;
+        stop.set(true);
+        let (mut all, mut succeeded) = (0u32, 0u32);
+        for task in asking {
+            for (number, (work, reply)) in task.await {
+                all += 1;
+                if let Reply::Succeeded(result) = reply {
+                    succeeded += 1;
+                    assert_eq!(result, work.result());
+                    assert!(fleet.account.borrow().made(number), "{number} was made by no run");
+                }
+            }
+        }
+        let account = fleet.account.borrow();
+        assert_eq!(account.ran_twice(), Vec::<u64>::new());
+        assert_eq!((account.launched_late, account.ledger_fell), (0, 0));
+        f64::from(succeeded) / f64::from(all.max(1))
+    };
+    async_io::block_on(future::or(executor.run(run), async {
+        Timer::after(Duration::from_secs(60)).await;
+        panic!("a call has no end")
+    }))
+}
+
+#[test]
+fn a_kill_and_restart_of_one_of_three_loses_no_call_and_runs_none_twice() {
+    let share = under(3, async |fleet, clock| {
+        fleet.backends[0].kill().expect("it ends");
+        Timer::after(Duration::from_millis(300)).await;
+        fleet.backends[0].start().expect("it starts again");
+        assert!(fleet.up(clock, 20_000.0).await);
+    });
+    assert!(share > 0.5, "{share}");
+}
+
+#[test]
+fn a_kill_of_all_at_once_is_survived_by_every_call() {
+    let share = under(2, async |fleet, clock| {
+        fleet.backends.iter_mut().for_each(|backend| backend.kill().expect("it ends"));
+        fleet.backends.iter_mut().for_each(|backend| backend.start().expect("it starts again"));
+        assert!(fleet.up(clock, 20_000.0).await);
+    });
+    assert!(share > 0.3, "{share}");
+}
+
+#[test]
+fn one_that_is_told_to_leave_hands_its_callers_over() {
+    let share = under(2, async |fleet, _| {
+        fleet.backends[0].leave(300.0);
+        let mut status = None;
+        while status.is_none() {
+            Timer::after(Duration::from_millis(10)).await;
+            status = fleet.backends[0].ended();
+        }
+        assert!(status.is_some_and(|status| status.success()));
+    });
+    assert!(share > 0.8, "{share}");
+}
