--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -66,13 +66,18 @@
     }
 }
 
+/// To four places; what is judged is the figure itself.
+fn shown(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
+
 /// The figures of a trial, in the order of its table.
 #[derive(Debug, Default)]
 pub struct Figures(Vec<(&'static str, f64, Aim)>);
 
 impl Figures {
     pub fn put(&mut self, key: &'static str, value: f64, aim: Aim) {
-        self.0.push((key, (value * 1e4).round() / 1e4, aim));
+        self.0.push((key, value, aim));
     }
 
     pub fn told(&mut self, key: &'static str, value: f64) {
@@ -88,8 +93,9 @@
         object.insert("trial".into(), name.into());
         object.insert("seed".into(), seed.into());
         for (key, value, _) in &self.0 {
+            let value = shown(*value);
             let whole = value.fract() == 0.0 && value.abs() < 1e15;
-            let value: Value = if whole { (*value as i64).into() } else { (*value).into() };
+            let value: Value = if whole { (value as i64).into() } else { value.into() };
             object.insert((*key).into(), value);
         }
         object.insert("held".into(), self.hold().into());
@@ -105,7 +111,7 @@
                 _ if aim.holds(*value) => "held",
                 _ => "FELL SHORT",
             };
-            table.add_row([key.to_string(), format!("{value}"), aim.text(), verdict.into()]);
+            table.add_row([key.to_string(), shown(*value).to_string(), aim.text(), verdict.into()]);
         }
         table
     }
