The server's process tests play their peers from the stand-ins; backends listen where no connection takes their port

Cause: a test backend could lose its port to an outgoing connection between the choice of a port and its start (seen once in a run of all tests). Addresses are now chosen on a loopback host of the process's own. Bad arguments of the command get one line.

--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -47,8 +47,29 @@
     }
 }
 
+/// What is wrong, without the usage that follows it.
+fn one_line(told: &str) -> String {
+    let what = told.split("\n\nUsage").next().unwrap_or(told);
+    let words: Vec<&str> = what.trim_start_matches("error: ").split_whitespace().collect();
+    format!(
+        "{}; `plovershelf --help` has the arguments",
+        words.join(" ").trim_end_matches("For more information, try '--help'.")
+    )
+}
+
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        // What is asked for goes to standard output, what is wrong to standard error in one line.
+        Err(told) if !told.use_stderr() => {
+            print!("{told}");
+            return ExitCode::SUCCESS;
+        }
+        Err(wrong) => {
+            eprintln!("plovershelf: {}", one_line(&wrong.to_string()));
+            return ExitCode::from(2);
+        }
+    };
     log(arguments.log_format);
     let done = match arguments.command {
         Command::Demo(options) => demo::run(&options),
@@ -72,6 +93,9 @@
     fn the_commands_arguments_agree_with_each_other() {
         use clap::CommandFactory;
         Arguments::command().debug_assert();
-        assert!(Arguments::try_parse_from(["plovershelf", "trial", "--seconds", "many"]).is_err());
+        let wrong = Arguments::try_parse_from(["plovershelf", "trial", "x", "--seconds", "many"]).err();
+        let told = one_line(&wrong.expect("no number").to_string());
+        assert!(told.starts_with("invalid value 'many' for '--seconds <SECONDS>'"), "{told}");
+        assert_eq!(told.lines().count(), 1);
     }
 }
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -1,11 +1,8 @@
 use super::*;
 use crate::messages::{CallOver, Said};
-use peers::{alive, cancel, dispatch, heard, Heard, SETTINGS};
 use plovershelf::interface::CallEnd;
 use plovershelf_codec::agent::RunOver;
-
-#[path = "../../tests/peers/mod.rs"]
-mod peers;
+use plovershelf_standins::scripted::{alive, cancel, dispatch, heard, Heard, SETTINGS};
 
 /// An owner with the far ends of its queues, whose agent is up.
 struct Stage {
--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -1,14 +1,12 @@
 //! The program itself on loopback, among stand-ins for its agent, its ledger, the roster and sidecars.
 
-mod peers;
-
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
 
-use peers::{alive, cancel, dispatch, Heard, Lines, Sidecar, SETTINGS};
+use plovershelf_standins::scripted::{alive, cancel, dispatch, Heard, Lines, Sidecar, SETTINGS};
 
 /// A running backend with the listeners of those it talks to.
 struct Backend {
@@ -41,7 +39,7 @@
         let (agent, ledger) = (local(), local());
         let roster = UdpSocket::bind("127.0.0.1:0").expect("a free port");
         roster.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
-        let address = local().local_addr().expect("an address").to_string();
+        let address = plovershelf_standins::free_address().expect("a free port").to_string();
         let text = format!(
             r#"{{"name": "n1", "listen": "{address}", "agent": "{}", "records": "{}", "registry": "{}",
                 "seed": "8c1f30d27a5be964", "stop_ms": 1500, "limits": {limits}, "settings": {SETTINGS}}}"#,
@@ -327,7 +325,7 @@
     let _old = backend.peers_move();
     // The old link is asked whether it has read all, and the new one begins where it ended.
     let mut next = Lines::accept(&backend.agent);
-    assert_eq!(agent.next(), None);
+    assert_eq!(agent.next_line(), None);
     next.expect("subscribe 2");
     next.say("greeting steady 1000", None);
     next.sampled();
--- a/crates/plovershelf-standins/src/backend.rs
+++ b/crates/plovershelf-standins/src/backend.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
@@ -14,7 +14,7 @@
 use crate::account::{Account, Shared};
 use crate::agent::Agent;
 use crate::ledger::{self, Ledger};
-use crate::{cores, Clock, Executor};
+use crate::{cores, free_address, Clock, Executor};
 
 /// What a set of backends is like.
 #[derive(Clone, Debug)]
@@ -70,10 +70,6 @@
     found.ok_or_else(|| "plovershelf-server is not built: `cargo build --release` builds it".into())
 }
 
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
-
 impl Fleet {
     /// Starts the stand-ins and all backends.
     pub fn start(executor: &Executor, clock: Clock, plan: &Plan) -> io::Result<Self> {
--- a/crates/plovershelf-standins/src/lib.rs
+++ b/crates/plovershelf-standins/src/lib.rs
@@ -8,12 +8,23 @@
 pub mod cores;
 pub mod ledger;
 pub mod plain;
+pub mod scripted;
 pub mod tap;
 pub mod work;
 
 use std::rc::Rc;
 use std::time::Instant;
 
+/// An address on loopback to listen on later. It stands on a host number of this process's own, from which no connection
+/// is ever made, so that no other socket takes its port in between.
+///
+/// Errors: as of binding a listener.
+pub fn free_address() -> std::io::Result<std::net::SocketAddr> {
+    let process = std::process::id();
+    let host = [127, 64 + (process >> 16 & 63) as u8, (process >> 8) as u8, (process as u8).max(1)];
+    std::net::TcpListener::bind((std::net::Ipv4Addr::from(host), 0))?.local_addr()
+}
+
 /// The executor that all stand-ins of a trial run on.
 pub type Executor = Rc<async_executor::LocalExecutor<'static>>;
 
--- a/crates/plovershelf-server/tests/peers/mod.rs
+++ b/crates/plovershelf-standins/src/scripted.rs
@@ -1,5 +1,6 @@
-//! Stand-ins for those that a backend talks to, written from the protocol page, for all tests of this package.
-#![allow(dead_code)]
+//! Peers that a test plays line by line: sidecars, the agent's link and the ledger's, each on a socket of its own and with
+//! frames put together byte by byte, so that what a backend says is held against the protocol and not against our codec.
+//! They panic where a test would: on what should not come, and on nothing within twenty seconds.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -137,7 +138,7 @@
         Lines { reader: BufReader::new(stream) }
     }
     /// The next line with the body that belongs to it; samples are answered on the way.
-    pub fn next(&mut self) -> Option<(String, Vec<u8>)> {
+    pub fn next_line(&mut self) -> Option<(String, Vec<u8>)> {
         loop {
             let mut line = String::new();
             if self.reader.read_line(&mut line).ok()? == 0 {
@@ -175,7 +176,7 @@
         self.say(&format!("sampled {tag} 0.5 1"), None);
     }
     pub fn expect(&mut self, beginning: &str) -> (String, Vec<u8>) {
-        let (line, body) = self.next().expect("a line");
+        let (line, body) = self.next_line().expect("a line");
         assert!(line.starts_with(beginning), "{line:?} instead of {beginning:?}");
         (line, body)
     }
--- a/crates/plovershelf-standins/src/tap.rs
+++ b/crates/plovershelf-standins/src/tap.rs
@@ -13,7 +13,7 @@
 use plovershelf_codec::front::{decode, Message};
 
 use crate::agent::Agent;
-use crate::{Clock, Executor};
+use crate::{free_address, Clock, Executor};
 
 /// What was seen, by tenths of a second where that matters.
 #[derive(Debug, Default)]
@@ -59,7 +59,7 @@
         to: SocketAddr,
         reading: Option<Reading>,
     ) -> std::io::Result<Self> {
-        let address = TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
+        let address = free_address()?;
         let (seen, executor) = (Rc::default(), executor.clone());
         let mut tap = Tap { address, seen, to, reading, clock, executor, accepting: None };
         tap.up()?;
