--- a/src/logic.rs
+++ b/src/logic.rs
@@ -126,6 +126,11 @@
     invocations: BTreeMap<u32, Invocation>,
     /// All due times but the periodic one: (bits of the time, id).
     due: BTreeSet<(u64, u32)>,
+    /// What is held and what wants a call, each in its order: the last goes first. See `stands`.
+    held: BTreeSet<(usize, u64, u32)>,
+    wanting: BTreeSet<(usize, u64, u32)>,
+    /// Spent work that was told to stop.
+    stopping: BTreeSet<u32>,
     on_core: usize,
     at_call: usize,
     calls_out: usize,
@@ -584,11 +589,26 @@
     }
 
     fn set_due(&mut self, id: u32) {
+        self.stands(id, false);
         let Some(invocation) = self.hand.invocations.get_mut(&id) else { return };
         self.hand.due.remove(&(bits(invocation.due), id));
         let stop = self.leaving.map_or(f64::MAX, |(_, stop)| stop);
         invocation.due = invocation.give_up_at.min(stop).max(self.now);
         self.hand.due.insert((bits(invocation.due), id));
+        self.stands(id, true);
+    }
+
+    /// Puts what waits into its order, or takes it out: the most revenue first, then the earliest due. Guards
+    /// against looking through all that is open at each event.
+    fn stands(&mut self, id: u32, waits: bool) {
+        let Some(invocation) = self.hand.invocations.get(&id) else { return };
+        let place = (self.offerings[invocation.offering].bucket, u64::MAX - bits(invocation.due), id);
+        let order = match invocation.state {
+            State::Held => &mut self.hand.held,
+            State::AtCall => &mut self.hand.wanting,
+            _ => return,
+        };
+        let _ = if waits { order.insert(place) } else { order.remove(&place) };
     }
 
     fn remembers(&self, id: u32) -> bool {
@@ -613,22 +633,13 @@
 
     // ---- runs and calls -----------------------------------------------------------------------------
 
-    /// The order of the hold and of calls: the most revenue first, then the earliest due.
-    fn first_of(&self, state: State) -> Option<u32> {
-        let revenue = |i: &Invocation| self.offerings[i.offering].terms.revenue;
-        let waiting = self.hand.invocations.iter().filter(|(_, i)| i.state == state);
-        let first =
-            waiting.max_by(|(_, a), (_, b)| revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due)));
-        first.map(|(id, _)| *id)
-    }
-
     fn run_held(&mut self) {
         loop {
             let (_, hard) = self.quotas();
             if self.load() >= hard || self.hand.at_call as f64 >= self.at_call_most() {
                 return;
             }
-            let Some(id) = self.first_of(State::Held) else { return };
+            let Some(&(_, _, id)) = self.hand.held.last() else { return };
             if !self.memory_allows(id) {
                 return;
             }
@@ -642,7 +653,7 @@
             if in_hand + 1.0 > self.calls_most || self.now < self.calls_after {
                 return;
             }
-            let Some(id) = self.first_of(State::AtCall) else { return };
+            let Some(&(_, _, id)) = self.hand.wanting.last() else { return };
             let within_ms = (self.hand.invocations[&id].due - self.now).max(1.0);
             self.change(id, State::Calling { within_ms });
         }
@@ -716,7 +727,7 @@
 
     /// Work that was told to stop while the cores stood still is told again.
     fn stop_spent(&mut self) {
-        let spent = self.ids_of(|i| matches!(i.state, State::Spent { stop: true, .. }));
+        let spent = self.hand.stopping.clone();
         spent.into_iter().for_each(|id| self.change(id, self.hand.invocations[&id].state));
     }
 
@@ -772,6 +783,7 @@
     // ---- the one place where states change ----------------------------------------------------------
 
     fn change(&mut self, id: u32, to: State) {
+        self.stands(id, false);
         let Some(invocation) = self.hand.invocations.get_mut(&id) else { return };
         let from = invocation.state;
         let runs = |s: State| matches!(s, State::Running | State::Spent { .. });
@@ -799,9 +811,15 @@
         if matches!(to, State::Ended(_) | State::Spent { .. }) {
             self.hand.due.remove(&(bits(invocation.due), id));
         }
+        if matches!(to, State::Spent { stop: true, .. }) {
+            self.hand.stopping.insert(id);
+        } else {
+            self.hand.stopping.remove(&id);
+        }
         if matches!(to, State::Ended(_)) {
             self.hand.invocations.remove(&id);
         }
+        self.stands(id, true);
         abandoned.into_iter().for_each(|began| self.rest_after(self.now - began, true));
     }
 
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -533,3 +533,41 @@
     };
     assert_eq!(day(), day());
 }
+
+/// What waits stands in an order of its own; it has to be the one that looking through all would give.
+#[test]
+fn what_waits_stands_in_order_under_any_turn_of_events() {
+    let mut backend = started(StartFacts { call_share: Some(2.0), cores: 1.0, ..facts() });
+    let mut chance = Pcg(99);
+    let mut next = 1;
+    for step in 0..4000u32 {
+        let now = f64::from(step) * 3.0;
+        let ids: Vec<u32> = backend.hand.invocations.keys().copied().collect();
+        let one = ids.get((chance.next() * ids.len() as f64) as usize).copied().unwrap_or(0);
+        match (chance.next() * 8.0) as u32 {
+            0..=2 => {
+                let offering = (chance.next() * 4.0) as usize;
+                let gives_up_at = Some(now + 50.0 + 900.0 * chance.next());
+                drop(backend.arrived(now, Arrival { gives_up_at, ..arrival(next, offering) }));
+                next += 1;
+            }
+            3 => drop(backend.wants_call(now, one)),
+            4 => drop(backend.call_ended(now, one, CallEnd::ProvenNotRun)),
+            5 => drop(backend.call_ended(now, one, CallEnd::Ok)),
+            6 => drop(backend.run_ended(now, one, RunEnd::Ok)),
+            _ if step == 3500 => drop(backend.told_to_leave(now, now + 400.0)),
+            _ => drop(backend.woke(now, Wake::Periodic, Gauges::default())),
+        }
+        for (state, order) in [(State::Held, &backend.hand.held), (State::AtCall, &backend.hand.wanting)] {
+            let revenue = |i: &Invocation| backend.offerings[i.offering].terms.revenue;
+            let waiting = backend.hand.invocations.iter().filter(|(_, i)| i.state == state);
+            assert_eq!(waiting.clone().count(), order.len());
+            let first = waiting
+                .max_by(|(_, a), (_, b)| revenue(a).total_cmp(&revenue(b)).then(b.due.total_cmp(&a.due)));
+            assert_eq!(first.map(|(id, _)| *id), order.last().map(|(_, _, id)| *id), "step {step}");
+        }
+        let stopping = |i: &Invocation| matches!(i.state, State::Spent { stop: true, .. });
+        assert_eq!(backend.ids_of(stopping), backend.hand.stopping.iter().copied().collect::<Vec<_>>());
+    }
+    assert!(next > 1000);
+}
