--- /dev/null
+++ b/crates/plovershelf-pools/src/lib.rs
@@ -0,0 +1,11 @@
+//! Pools of offerings: how many runs and calls each may have, as limits that adapt to what those take, with unused room
+//! lent to others and a reserve that the cheapest always have. Pure: it is told what begins, ends and waits, and says
+//! who may begin. The sum over pools never passes the bounds that it is told, whatever its own limits say.
+
+pub mod limit;
+pub mod pools;
+pub mod room;
+
+pub use limit::{Bounds, Limit, Way};
+pub use pools::{Kind, Plan, Pools, Terms};
+pub use room::{PoolTerms, Reserve, Rooms};
--- /dev/null
+++ b/crates/plovershelf-pools/src/pools.rs
@@ -0,0 +1,352 @@
+//! The pools of one backend: which offering is in which, a limit each on runs and on calls that adapts to what those
+//! take, and the rooms that keep the sums within what the backend and its ledger survive.
+//!
+//! | told | when |
+//! | --- | --- |
+//! | `bound` | the crowd that may run, or the share of calls, has changed: cold, warming, shrunk |
+//! | `waits` | how much of a pool waits for a core, or for its call |
+//! | `begin`, `end` | a run or a call begins, if it may; ends, after so long, well or not |
+//! | `replace` | the operator's file was read again |
+
+use crate::limit::{Bounds, Limit, Way};
+use crate::room::{PoolTerms, Reserve, Rooms};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Run,
+    Call,
+}
+
+/// One pool in both kinds of room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    pub name: String,
+    /// Places of its offerings in the backend's table. One pool, the first, takes those that no pool names.
+    pub offerings: Vec<usize>,
+    pub least_runs: usize,
+    pub most_runs: usize,
+    pub least_calls: usize,
+    pub most_calls: usize,
+    pub weight: f64,
+}
+
+/// What all pools of a backend are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub pools: Vec<Terms>,
+    pub reserve: Option<Reserve>,
+}
+
+/// What is to be seen of one pool, of one kind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
+    pub in_hand: usize,
+    pub limit: f64,
+    pub borrowed: usize,
+    /// Times that one more was not let begin since this was last asked.
+    pub held_back: u64,
+    pub base_ms: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+struct Side {
+    rooms: Rooms,
+    limits: Vec<Limit>,
+    total: usize,
+    held_back: Vec<u64>,
+}
+
+impl Side {
+    fn new(plan: &Plan, kind: Kind, total: usize) -> Result<Self, String> {
+        let terms = |pool: &Terms| {
+            let (least, most) = match kind {
+                Kind::Run => (pool.least_runs, pool.most_runs),
+                Kind::Call => (pool.least_calls, pool.most_calls),
+            };
+            PoolTerms { name: pool.name.clone(), least, most, weight: pool.weight }
+        };
+        let terms: Vec<PoolTerms> = plan.pools.iter().map(terms).collect();
+        let limit = |pool: &PoolTerms| {
+            let bounds = Bounds { least: pool.least.max(1) as f64, most: pool.most.max(1) as f64 };
+            // A cold one begins at its part, not at its most: what it takes is not known.
+            let sum: f64 = terms.iter().map(|other| other.weight).sum();
+            Limit::new(Way::Additive, bounds, total as f64 * pool.weight / sum)
+        };
+        let limits = terms.iter().map(limit).collect();
+        let held_back = vec![0; terms.len()];
+        let rooms = Rooms::new(terms.clone(), plan.reserve, total).map_err(|wrong| {
+            format!("{wrong}, counted in {}", if kind == Kind::Run { "runs" } else { "calls" })
+        })?;
+        Ok(Side { rooms, limits, total, held_back })
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Pools {
+    plan: Plan,
+    /// The pool of each offering.
+    of: Vec<usize>,
+    runs: Side,
+    calls: Side,
+}
+
+impl Pools {
+    /// Pools for so many offerings, with room for so many runs and calls when warm.
+    ///
+    /// Errors: an offering in two pools, or that does not exist; what [`Rooms::new`] says of either kind.
+    pub fn new(plan: Plan, offerings: usize, runs: usize, calls: usize) -> Result<Self, String> {
+        let mut of = vec![None; offerings];
+        for (place, pool) in plan.pools.iter().enumerate() {
+            for offering in &pool.offerings {
+                match of.get_mut(*offering) {
+                    None => {
+                        return Err(format!("[pool {}] names offering {offering} of {offerings}", pool.name))
+                    }
+                    Some(Some(other)) => {
+                        let other: &Terms = &plan.pools[*other];
+                        return Err(format!(
+                            "[pool {}] names an offering of [pool {}]",
+                            pool.name, other.name
+                        ));
+                    }
+                    Some(slot) => *slot = Some(place),
+                }
+            }
+        }
+        let of = of.into_iter().map(|pool: Option<usize>| pool.unwrap_or(0)).collect();
+        let (runs, calls) = (Side::new(&plan, Kind::Run, runs)?, Side::new(&plan, Kind::Call, calls)?);
+        Ok(Pools { plan, of, runs, calls })
+    }
+
+    /// The pool of an offering.
+    pub fn pool(&self, offering: usize) -> usize {
+        self.of.get(offering).copied().unwrap_or(0)
+    }
+
+    fn side(&mut self, kind: Kind) -> &mut Side {
+        match kind {
+            Kind::Run => &mut self.runs,
+            Kind::Call => &mut self.calls,
+        }
+    }
+
+    /// So much may be in hand of all pools from now on.
+    pub fn bound(&mut self, kind: Kind, total: usize) {
+        let side = self.side(kind);
+        side.total = total;
+        side.rooms.bound(total);
+    }
+
+    pub fn waits(&mut self, kind: Kind, pool: usize, waiting: usize) {
+        self.side(kind).rooms.waits(pool, waiting);
+    }
+
+    /// One more of a pool would begin; it does where this says so.
+    pub fn begin(&mut self, kind: Kind, pool: usize) -> bool {
+        let side = self.side(kind);
+        let may = side.rooms.begin(pool);
+        side.held_back[pool] += u64::from(!may);
+        may
+    }
+
+    /// One has ended after so long; `well` is false where it was turned away or failed below. `None` for one that ended
+    /// without having shown what it takes: given up, cancelled.
+    pub fn end(&mut self, kind: Kind, pool: usize, now: f64, took_ms: Option<f64>, well: bool) {
+        let side = self.side(kind);
+        let in_hand = side.rooms.in_hand(pool);
+        side.rooms.end(pool);
+        if let Some(took_ms) = took_ms {
+            side.limits[pool].ended(now, took_ms, in_hand, well);
+        }
+        let limit = side.limits[pool].value();
+        side.rooms.limit(pool, limit);
+    }
+
+    /// What each pool may have now.
+    pub fn shares(&self, kind: Kind) -> Vec<usize> {
+        match kind {
+            Kind::Run => self.runs.rooms.shares(),
+            Kind::Call => self.calls.rooms.shares(),
+        }
+    }
+
+    pub fn figures(&mut self, kind: Kind, pool: usize) -> Figures {
+        let side = self.side(kind);
+        Figures {
+            in_hand: side.rooms.in_hand(pool),
+            limit: side.limits[pool].value(),
+            borrowed: side.rooms.borrowed(pool),
+            held_back: std::mem::take(&mut side.held_back[pool]),
+            base_ms: side.limits[pool].base_ms(),
+        }
+    }
+
+    /// Takes a new plan, all or nothing. What is in hand goes on in the pool of its offering's new place by name; pools that
+    /// have gone leave what they had to the first. What was learnt of a pool that keeps its name is kept.
+    ///
+    /// Errors: as of [`Pools::new`]; nothing has changed then.
+    pub fn replace(&mut self, plan: Plan) -> Result<(), String> {
+        let (runs, calls) = (self.runs.total, self.calls.total);
+        let mut next = Pools::new(plan, self.of.len(), runs, calls)?;
+        for (place, pool) in self.plan.pools.iter().enumerate() {
+            let to = next.plan.pools.iter().position(|other| other.name == pool.name);
+            for kind in [Kind::Run, Kind::Call] {
+                let (old, new) = match kind {
+                    Kind::Run => (&self.runs, &mut next.runs),
+                    Kind::Call => (&self.calls, &mut next.calls),
+                };
+                new.rooms.take_over(to.unwrap_or(0), old.rooms.in_hand(place));
+                if let Some(to) = to {
+                    let bounds = new.limits[to].bounds();
+                    new.limits[to] = old.limits[place].clone();
+                    new.limits[to].rebound(bounds);
+                    let limit = new.limits[to].value();
+                    new.rooms.limit(to, limit);
+                }
+            }
+        }
+        *self = next;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn terms(name: &str, offerings: &[usize], weight: f64) -> Terms {
+        Terms {
+            name: name.into(),
+            offerings: offerings.to_vec(),
+            least_runs: 2,
+            most_runs: 60,
+            least_calls: 1,
+            most_calls: 30,
+            weight,
+        }
+    }
+
+    fn plan() -> Plan {
+        let pools = vec![terms("cheap", &[0], 1.0), terms("dear", &[1, 2], 4.0)];
+        Plan { pools, reserve: Some(Reserve { pool: 0, share: 0.1 }) }
+    }
+
+    fn pools() -> Pools {
+        Pools::new(plan(), 4, 40, 20).expect("fit terms")
+    }
+
+    /// Each pool would have so many runs in hand, of so long each; hands back how many of each ended in the span.
+    fn plays(pools: &mut Pools, from: f64, span: f64, takes: [f64; 2], asks: [usize; 2]) -> [u32; 2] {
+        let mut hand: Vec<(f64, usize, f64)> = Vec::new();
+        let (mut ended, mut now) = ([0, 0], from);
+        while now < from + span {
+            now += 1.0;
+            let over: Vec<_> = hand.iter().filter(|(at, ..)| *at <= now).copied().collect();
+            hand.retain(|(at, ..)| *at > now);
+            for (_, pool, took) in over {
+                pools.end(Kind::Run, pool, now, Some(took), true);
+                ended[pool] += 1;
+            }
+            let in_hand = |pool: usize, hand: &[(f64, usize, f64)]| {
+                hand.iter().filter(|(_, of, _)| *of == pool).count()
+            };
+            let waiting = [0, 1].map(|pool| asks[pool] - in_hand(pool, &hand));
+            for pool in [0, 1] {
+                pools.waits(Kind::Run, pool, waiting[pool]);
+            }
+            for pool in [0, 1] {
+                for _ in 0..waiting[pool] {
+                    if !pools.begin(Kind::Run, pool) {
+                        break;
+                    }
+                    hand.push((now + takes[pool], pool, takes[pool]));
+                }
+            }
+            assert!(hand.len() <= 40, "{} at {now}", hand.len());
+        }
+        hand.into_iter().for_each(|(_, pool, _)| pools.end(Kind::Run, pool, now, None, true));
+        ended
+    }
+
+    #[test]
+    fn a_flood_of_the_cheap_does_not_starve_the_dear_and_the_cheap_do_not_die() {
+        let alone = plays(&mut pools(), 0.0, 5000.0, [20.0, 20.0], [0, 24])[1];
+        let [cheap, dear] = plays(&mut pools(), 0.0, 5000.0, [20.0, 20.0], [240, 24]);
+        assert!(f64::from(dear) >= 0.97 * f64::from(alone), "{dear} of {alone}");
+        assert!(cheap >= 500, "{cheap}");
+    }
+
+    #[test]
+    fn a_costly_burst_in_one_pool_shrinks_that_one_alone() {
+        let mut pools = pools();
+        plays(&mut pools, 0.0, 3000.0, [20.0, 20.0], [30, 30]);
+        let before = pools.figures(Kind::Run, 1).limit;
+        plays(&mut pools, 3000.0, 400.0, [200.0, 20.0], [30, 30]);
+        assert!(pools.figures(Kind::Run, 1).limit >= before);
+    }
+
+    #[test]
+    fn a_pool_whose_traffic_comes_back_after_an_hour_has_its_room_within_one_run() {
+        let mut pools = pools();
+        plays(&mut pools, 0.0, 2000.0, [20.0, 20.0], [200, 30]);
+        plays(&mut pools, 2000.0, 10_000.0, [20.0, 20.0], [200, 0]);
+        let ended = plays(&mut pools, 3_600_000.0, 200.0, [20.0, 20.0], [200, 30]);
+        assert!(ended[1] >= 150, "{ended:?}");
+    }
+
+    #[test]
+    fn a_plan_that_shrinks_a_pool_below_what_it_runs_kills_nothing_and_a_bad_one_changes_nothing() {
+        let mut pools = pools();
+        pools.waits(Kind::Run, 1, 30);
+        let begun = (0..30).filter(|_| pools.begin(Kind::Run, 1)).count();
+        let bad = Plan { pools: vec![terms("a", &[0], 1.0), terms("b", &[0], 1.0)], reserve: None };
+        assert_eq!(pools.replace(bad), Err("[pool b] names an offering of [pool a]".into()));
+        assert_eq!(pools.figures(Kind::Run, 1).in_hand, begun);
+        let mut small = plan();
+        small.pools[1].most_runs = 5;
+        pools.replace(small).expect("fit terms");
+        pools.waits(Kind::Run, 1, 30);
+        for left in (5..begun).rev() {
+            assert!(!pools.begin(Kind::Run, 1));
+            pools.end(Kind::Run, 1, 1.0, None, true);
+            assert_eq!(pools.figures(Kind::Run, 1).in_hand, left);
+        }
+        pools.end(Kind::Run, 1, 1.0, None, true);
+        assert!(pools.begin(Kind::Run, 1) && !pools.begin(Kind::Run, 1));
+    }
+
+    #[test]
+    fn a_cold_successor_keeps_within_a_bound_below_all_that_is_promised() {
+        let mut pools = pools();
+        pools.bound(Kind::Run, 3);
+        for pool in [0, 1] {
+            pools.waits(Kind::Run, pool, 50);
+        }
+        let begun = (0..50).map(|n| usize::from(pools.begin(Kind::Run, n % 2))).sum::<usize>();
+        assert_eq!(begun, 3);
+        assert_eq!(pools.pool(3), 0);
+    }
+
+    #[test]
+    fn a_ledger_that_errs_for_one_pool_leaves_the_others_calls() {
+        let mut pools = pools();
+        for n in 0..400 {
+            for pool in [0, 1] {
+                pools.waits(Kind::Call, pool, 5);
+                if pools.begin(Kind::Call, pool) {
+                    pools.end(Kind::Call, pool, f64::from(n) * 10.0, Some(10.0), pool == 1);
+                }
+            }
+        }
+        let (failing, well) = (pools.figures(Kind::Call, 0).limit, pools.figures(Kind::Call, 1).limit);
+        assert!(failing <= 1.0 && well >= 12.0, "{failing}, {well}");
+    }
+
+    #[test]
+    fn leasts_beyond_the_ledgers_share_are_refused_with_their_sum() {
+        let mut large = plan();
+        large.pools[0].least_calls = 25;
+        let wrong = Pools::new(large, 4, 40, 20).expect_err("too many");
+        assert_eq!(wrong, "the least of all pools add up to 26, and there is room for 20, counted in calls");
+    }
+}
