The module takes each pool's room: what is kept is let in under the cut, a full pool is cut wholly

Need: pools are to act on the module's ordinary path. Four tests, one of 3,000 random events. Nothing hands pools in yet.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,23 @@
     pub original: Option<u32>,
 }
 
+/// What one pool of offerings may have at present, in runs and calls; whoever keeps the pools works it out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolRoom {
+    /// Let in whatever the cut, up to this many runs.
+    pub kept: f64,
+    /// Runs at most, calls in hand at most.
+    pub runs: f64,
+    pub calls: f64,
+}
+
+/// The pools of a backend: that of each offering, and what each may have.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pools {
+    pub of: Vec<usize>,
+    pub rooms: Vec<PoolRoom>,
+}
+
 /// How a run came to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -182,6 +199,8 @@
     pub fit: Option<bool>,
     /// How long a connection that is not used may stay.
     pub idle_ms: Option<f64>,
+    /// Runs and calls that all pools together may have; told where there are pools.
+    pub room: Option<(f64, f64)>,
     pub wakes: Vec<(f64, Wake)>,
     pub notes: Vec<String>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -131,6 +131,8 @@
     wanting: BTreeSet<(usize, u64, u32)>,
     /// Spent work that was told to stop.
     stopping: BTreeSet<u32>,
+    /// Runs and calls out of each pool.
+    pooled: Vec<(usize, usize)>,
     on_core: usize,
     at_call: usize,
     calls_out: usize,
@@ -180,6 +182,8 @@
     /// How long idle connections are to stay, and the last span told.
     idle_ms: f64,
     idle_told: f64,
+    /// What pools may have, where there are any.
+    pools: Option<Pools>,
     chance: Pcg,
     out: Outcome,
 }
@@ -235,6 +239,7 @@
             advised: -1.0,
             idle_ms: facts.idle_most_ms,
             idle_told: facts.idle_most_ms,
+            pools: None,
             chance: Pcg(facts.seed),
             out: Outcome::default(),
             facts,
@@ -273,7 +278,7 @@
         let bucket = self.offerings[arrival.offering].bucket;
         let place = if lowest { bucket } else { self.buckets + bucket };
         self.tallies[place] += 1.0;
-        let part = self.part_let_in();
+        let part = self.pool_part(arrival.offering, self.part_let_in());
         let cool_down_ms = COOL_MS * (1.0 - part) + self.unread_ms;
         // At the hard quota every arrival is refused.
         if part <= 0.0 || !self.memory_allows(id) {
@@ -375,6 +380,8 @@
             self.ease += SMOOTH * (self.part_let_in() - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
+            let room = || (self.quotas().1 * self.facts.cores, self.calls_most);
+            self.out.words.room = self.pools.as_ref().map(|_| room());
         } else if now + 0.01 >= self.woken_for {
             // Superseded wakes come too: only the one that was waited for clears the way for the next.
             self.woken_for = f64::MAX;
@@ -384,6 +391,22 @@
         self.result()
     }
 
+    /// What pools may have from now on; without any the design's one quota holds for all.
+    pub fn pooled(&mut self, now: f64, pools: Option<Pools>) -> Outcome {
+        self.pass_to(now);
+        let of = |pools: &Option<Pools>| pools.as_ref().map(|pools| (pools.of.clone(), pools.rooms.len()));
+        let moved = of(&pools) != of(&self.pools);
+        self.pools = pools;
+        if moved {
+            self.hand.pooled = vec![(0, 0); self.pools.as_ref().map_or(0, |pools| pools.rooms.len())];
+            let all: Vec<(usize, State)> =
+                self.hand.invocations.values().map(|i| (i.offering, i.state)).collect();
+            all.into_iter().for_each(|(offering, state)| self.count_pooled(offering, state, true));
+        }
+        self.place_calls();
+        self.result()
+    }
+
     // ---- quotas -------------------------------------------------------------------------------------
 
     /// Runs a core that are on the cores or wait for disk; those at a call have a bound of their own.
@@ -442,6 +465,38 @@
         part.min(stepped(AT_CALL_SOFT * at_call_hard, at_call_hard, self.hand.at_call as f64))
     }
 
+    /// The part of a pool's arrivals that is let in. A pool below what is kept for it is not cut while the crowd
+    /// holds, one that has all its room is cut wholly; between them the design's cut stands. Guards against a
+    /// flood of one offering that takes all room from the others; harms where pools are drawn too narrow.
+    fn pool_part(&self, offering: usize, part: f64) -> f64 {
+        let Some((pool, room)) = self.pool_room(offering) else { return part };
+        let runs = self.hand.pooled[pool].0 as f64;
+        let holds = self.load() < self.quotas().1 && (self.hand.at_call as f64) < self.at_call_most();
+        match runs {
+            runs if runs >= room.runs => 0.0,
+            runs if runs < room.kept && holds => 1.0,
+            _ => part,
+        }
+    }
+
+    fn pool_room(&self, offering: usize) -> Option<(usize, &PoolRoom)> {
+        let pools = self.pools.as_ref()?;
+        let pool = *pools.of.get(offering)?;
+        pools.rooms.get(pool).map(|room| (pool, room))
+    }
+
+    fn count_pooled(&mut self, offering: usize, state: State, more: bool) {
+        let Some(pool) = self.pool_room(offering).map(|(pool, _)| pool) else { return };
+        let (runs, calls) = &mut self.hand.pooled[pool];
+        // Those that want a call and have none count as runs: a pool whose calls are full fills up by itself.
+        let one = match state {
+            State::Running | State::Spent { .. } | State::AtCall => runs,
+            State::Calling { .. } => calls,
+            _ => return,
+        };
+        *one = if more { *one + 1 } else { *one - 1 };
+    }
+
     /// What stays of a place in the order when this part of all arrivals is let in, the highest places first.
     fn kept_of(&self, place: usize, part: f64) -> f64 {
         let all: f64 = self.tallies.iter().sum();
@@ -653,7 +708,13 @@
             if in_hand + 1.0 > self.calls_most || self.now < self.calls_after {
                 return;
             }
-            let Some(&(_, _, id)) = self.hand.wanting.last() else { return };
+            let has_room = |id: &u32| {
+                let room = self.pool_room(self.hand.invocations[id].offering);
+                room.is_none_or(|(pool, room)| self.hand.pooled[pool].1 as f64 + 1.0 <= room.calls)
+            };
+            let Some(&(_, _, id)) = self.hand.wanting.iter().rev().find(|(_, _, id)| has_room(id)) else {
+                return;
+            };
             let within_ms = (self.hand.invocations[&id].due - self.now).max(1.0);
             self.change(id, State::Calling { within_ms });
         }
@@ -785,7 +846,7 @@
     fn change(&mut self, id: u32, to: State) {
         self.stands(id, false);
         let Some(invocation) = self.hand.invocations.get_mut(&id) else { return };
-        let from = invocation.state;
+        let (from, offering) = (invocation.state, invocation.offering);
         let runs = |s: State| matches!(s, State::Running | State::Spent { .. });
         let calls = |s: State| matches!(s, State::AtCall | State::Calling { .. });
         if runs(from) {
@@ -811,6 +872,8 @@
         if matches!(to, State::Ended(_) | State::Spent { .. }) {
             self.hand.due.remove(&(bits(invocation.due), id));
         }
+        self.count_pooled(offering, from, false);
+        self.count_pooled(offering, to, true);
         if matches!(to, State::Spent { stop: true, .. }) {
             self.hand.stopping.insert(id);
         } else {
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -571,3 +571,96 @@
     }
     assert!(next > 1000);
 }
+
+/// The first offering in one pool, the others in another.
+fn two_pools(kept: f64, runs: f64, calls: f64) -> Option<Pools> {
+    let wide = PoolRoom { kept: 0.0, runs: 100.0, calls: 100.0 };
+    Some(Pools { of: vec![0, 1, 1, 1], rooms: vec![PoolRoom { kept, runs, calls }, wide] })
+}
+
+fn let_in(outcome: &Outcome, id: u32) -> bool {
+    outcome.changes.iter().any(|change| change.id == id && change.to == State::Running)
+}
+
+#[test]
+fn a_full_pool_is_cut_wholly_and_the_others_are_not() {
+    let mut backend = started(facts());
+    backend.pooled(1.0, two_pools(0.0, 2.0, 9.0));
+    let told: Vec<bool> = (0..4).map(|id| let_in(&backend.arrived(2.0, arrival(id, 0)), id)).collect();
+    assert_eq!(told, [true, true, false, false]);
+    assert!(let_in(&backend.arrived(2.0, arrival(9, 1)), 9));
+    backend.run_ended(3.0, 0, RunEnd::Ok);
+    assert!(let_in(&backend.arrived(4.0, arrival(10, 0)), 10));
+}
+
+#[test]
+fn what_is_kept_for_a_pool_is_let_in_under_the_cut_while_the_crowd_holds() {
+    // Above the soft quota and under the hard one the lowest are cut.
+    let crowd = (1..40).find(|count| (0.05..0.5).contains(&running(*count).part_let_in())).expect("a cut");
+    let tries = |pools: Option<Pools>| {
+        let mut backend = running(crowd);
+        // Most of what comes is dear, so the cut takes all of the cheap.
+        let dear = backend.buckets + backend.offerings[1].bucket;
+        backend.tallies[dear] = 100.0;
+        backend.pooled(1.0, pools);
+        (0..5).filter(|id| let_in(&backend.arrived(2.0, arrival(*id, 0)), *id)).count()
+    };
+    assert_eq!((tries(None), tries(two_pools(2.0, 50.0, 9.0))), (0, 2));
+    let mut full = running(200);
+    full.pooled(1.0, two_pools(2.0, 50.0, 9.0));
+    assert!(!let_in(&full.arrived(2.0, arrival(1, 0)), 1));
+}
+
+#[test]
+fn a_pool_whose_calls_are_full_waits_and_holds_up_no_other() {
+    let mut backend = started(StartFacts { call_share: Some(50.0), ..facts() });
+    let dear_full = Pools {
+        of: vec![0, 1, 1, 1],
+        rooms: vec![
+            PoolRoom { kept: 0.0, runs: 100.0, calls: 100.0 },
+            PoolRoom { kept: 0.0, runs: 100.0, calls: 1.0 },
+        ],
+    };
+    backend.pooled(1.0, Some(dear_full));
+    for (id, offering) in [(1, 3), (2, 3), (3, 0)] {
+        backend.arrived(2.0, arrival(id, offering));
+        backend.wants_call(3.0, id);
+    }
+    let calling = |backend: &Backend, id: u32| matches!(backend.state(id), Some(State::Calling { .. }));
+    assert_eq!([1, 2, 3].map(|id| calling(&backend, id)), [true, false, true]);
+    backend.call_ended(4.0, 1, CallEnd::Ok);
+    assert!(calling(&backend, 2));
+}
+
+#[test]
+fn counts_of_pools_follow_every_change_and_pools_taken_away_leave_the_design() {
+    let mut backend = started(facts());
+    let mut chance = Pcg(5);
+    for step in 0..3000u32 {
+        let now = f64::from(step) * 4.0;
+        let ids: Vec<u32> = backend.hand.invocations.keys().copied().collect();
+        let one = ids.get((chance.next() * ids.len() as f64) as usize).copied().unwrap_or(0);
+        match (chance.next() * 7.0) as u32 {
+            0 | 1 => drop(backend.arrived(now, arrival(step + 1, (chance.next() * 4.0) as usize))),
+            2 => drop(backend.wants_call(now, one)),
+            3 => drop(backend.call_ended(now, one, CallEnd::Ok)),
+            4 => drop(backend.run_ended(now, one, RunEnd::Ok)),
+            5 => drop(backend.woke(now, Wake::Periodic, Gauges::default())),
+            _ if step % 3 == 0 => drop(backend.pooled(now, two_pools(1.0, 5.0, 2.0))),
+            _ if step % 50 == 1 => drop(backend.pooled(now, None)),
+            _ => {}
+        }
+        let Some(pools) = &backend.pools else { continue };
+        let mut counted = vec![(0, 0); 2];
+        for invocation in backend.hand.invocations.values() {
+            match invocation.state {
+                State::Calling { .. } => counted[pools.of[invocation.offering]].1 += 1,
+                State::Running | State::AtCall | State::Spent { .. } => {
+                    counted[pools.of[invocation.offering]].0 += 1;
+                }
+                _ => {}
+            }
+        }
+        assert_eq!(counted, backend.hand.pooled, "step {step}");
+    }
+}
