--- a/crates/plovershelf-cli/src/load.rs
+++ b/crates/plovershelf-cli/src/load.rs
@@ -124,6 +124,17 @@
 
 /// What so many clients ask for, each by itself at random times. `per_second` tells the demand at a time.
 pub fn schedule(seed: u64, clients: usize, span_ms: f64, per_second: impl Fn(f64) -> f64) -> Vec<Planned> {
+    schedule_of(seed, clients, span_ms, per_second, &OFFERINGS.map(|offering| offering.share))
+}
+
+/// The same with other shares of the offerings, which add up to 1.
+pub fn schedule_of(
+    seed: u64,
+    clients: usize,
+    span_ms: f64,
+    per_second: impl Fn(f64) -> f64,
+    shares: &[f64],
+) -> Vec<Planned> {
     let mut chance = Pcg64::seed_from_u64(seed);
     let most = (0..200).map(|n| per_second(span_ms * f64::from(n) / 200.0)).fold(0.001, f64::max);
     // Work differs by itself, with a tail.
@@ -140,12 +151,12 @@
         }
         let mut draw = chance.random::<f64>();
         let mut offering = OFFERINGS.len() - 1;
-        for (place, one) in OFFERINGS.iter().enumerate() {
-            if draw < one.share {
+        for (place, share) in shares.iter().enumerate() {
+            if draw < *share {
                 offering = place;
                 break;
             }
-            draw -= one.share;
+            draw -= share;
         }
         let told = OFFERINGS[offering];
         let work = Work {
--- a/crates/plovershelf-cli/src/trial/client_overload.rs
+++ b/crates/plovershelf-cli/src/trial/client_overload.rs
@@ -34,6 +34,7 @@
         sockets: 1024,
         stop_ms: 2500.0,
         logs: ground.logs.clone(),
+        pools: None,
     }
 }
 
--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -3,6 +3,7 @@
 
 mod client_overload;
 mod client_restart;
+mod pools;
 
 pub use client_overload::taps;
 
@@ -73,11 +74,15 @@
 
 /// The figures of a trial, in the order of its table.
 #[derive(Debug, Default)]
-pub struct Figures(Vec<(&'static str, f64, Aim)>);
+pub struct Figures {
+    own: Vec<(&'static str, f64, Aim)>,
+    /// The same by phase.
+    phases: Vec<(&'static str, Figures)>,
+}
 
 impl Figures {
     pub fn put(&mut self, key: &'static str, value: f64, aim: Aim) {
-        self.0.push((key, value, aim));
+        self.own.push((key, value, aim));
     }
 
     pub fn told(&mut self, key: &'static str, value: f64) {
@@ -85,33 +90,54 @@
     }
 
     fn hold(&self) -> bool {
-        self.0.iter().all(|(_, value, aim)| aim.holds(*value))
+        let own = self.own.iter().all(|(_, value, aim)| aim.holds(*value));
+        own && self.phases.iter().all(|(_, figures)| figures.hold())
+    }
+
+    pub fn phase(&mut self, name: &'static str, figures: Figures) {
+        self.phases.push((name, figures));
     }
 
     fn json(&self, name: &str, seed: u64) -> Value {
         let mut object = Map::new();
         object.insert("trial".into(), name.into());
         object.insert("seed".into(), seed.into());
-        for (key, value, _) in &self.0 {
+        self.put_into(&mut object);
+        object.insert("held".into(), self.hold().into());
+        object.into()
+    }
+
+    fn put_into(&self, object: &mut Map<String, Value>) {
+        for (key, value, _) in &self.own {
             let value = shown(*value);
             let whole = value.fract() == 0.0 && value.abs() < 1e15;
             let value: Value = if whole { (value as i64).into() } else { value.into() };
             object.insert((*key).into(), value);
         }
-        object.insert("held".into(), self.hold().into());
-        object.into()
+        let phase = |(name, figures): &(&'static str, Figures)| {
+            let mut told = Map::new();
+            figures.put_into(&mut told);
+            (name.to_string(), Value::from(told))
+        };
+        if !self.phases.is_empty() {
+            object.insert("phases".into(), Value::from(self.phases.iter().map(phase).collect::<Map<_, _>>()));
+        }
     }
 
     fn table(&self) -> Table {
         let mut table = Table::new();
         table.load_preset(presets::NOTHING).set_header(["figure", "measured", "aim", ""]);
-        for (key, value, aim) in &self.0 {
+        let phases = self.phases.iter().flat_map(|(name, figures)| {
+            figures.own.iter().map(move |(key, value, aim)| (format!("{name}: {key}"), *value, *aim))
+        });
+        let own = self.own.iter().map(|(key, value, aim)| (key.to_string(), *value, *aim));
+        for (key, value, aim) in own.chain(phases) {
             let verdict = match aim {
                 Aim::Told => "",
-                _ if aim.holds(*value) => "held",
+                _ if aim.holds(value) => "held",
                 _ => "FELL SHORT",
             };
-            table.add_row([key.to_string(), shown(*value).to_string(), aim.text(), verdict.into()]);
+            table.add_row([key, shown(value).to_string(), aim.text(), verdict.into()]);
         }
         table
     }
@@ -128,7 +154,7 @@
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 2] = [
+const TRIALS: [(&str, &str, Run); 3] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -139,6 +165,11 @@
         "two hundred callers whose backends are all killed and started again",
         client_restart::run,
     ),
+    (
+        "pools",
+        "a flood of the cheap, a costly burst, a slowdown; a ledger at 200 %; with pools and without",
+        pools::run,
+    ),
 ];
 
 /// Exit statuses: 0 every claim held, 1 one fell short; an error is a trial that could not run.
--- a/crates/plovershelf-pools/src/pools.rs
+++ b/crates/plovershelf-pools/src/pools.rs
@@ -162,6 +162,41 @@
         side.rooms.limit(pool, limit);
     }
 
+    /// So much of a pool is in hand, for hosts that decide by themselves who begins, by the room that they were told.
+    pub fn counted(&mut self, kind: Kind, pool: usize, in_hand: usize) {
+        self.side(kind).rooms.counted(pool, in_hand);
+    }
+
+    /// What one took, for the same hosts.
+    pub fn learn(&mut self, kind: Kind, pool: usize, now: f64, took_ms: f64, well: bool) {
+        let side = self.side(kind);
+        let in_hand = side.rooms.in_hand(pool);
+        side.limits[pool].ended(now, took_ms, in_hand, well);
+        let limit = side.limits[pool].value();
+        side.rooms.limit(pool, limit);
+    }
+
+    /// What each pool could have now, asked it for all there is, while the others have and want what they do.
+    pub fn room(&self, kind: Kind) -> Vec<usize> {
+        let (rooms, total) = match kind {
+            Kind::Run => (&self.runs.rooms, self.runs.total),
+            Kind::Call => (&self.calls.rooms, self.calls.total),
+        };
+        (0..self.plan.pools.len()).map(|pool| rooms.room(pool, total)).collect()
+    }
+
+    /// Runs that a pool always has where it asks.
+    pub fn kept_runs(&self, pool: usize) -> usize {
+        let reserve = self.plan.reserve.filter(|reserve| reserve.pool == pool);
+        let reserved = reserve.map_or(0, |reserve| (reserve.share * self.runs.total as f64).ceil() as usize);
+        self.plan.pools[pool].least_runs.max(reserved).min(self.runs.total)
+    }
+
+    /// Names of the pools, in their order.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.plan.pools.iter().map(|pool| pool.name.as_str())
+    }
+
     /// What each pool may have now.
     pub fn shares(&self, kind: Kind) -> Vec<usize> {
         match kind {
--- a/crates/plovershelf-pools/src/room.rs
+++ b/crates/plovershelf-pools/src/room.rs
@@ -171,6 +171,19 @@
         self.pools[pool].in_hand = self.pools[pool].in_hand.saturating_sub(1);
     }
 
+    /// So much is in hand, whatever was let begin.
+    pub fn counted(&mut self, pool: usize, in_hand: usize) {
+        self.pools[pool].in_hand = in_hand;
+    }
+
+    /// What a pool could have, asked it for so much.
+    pub fn room(&self, pool: usize, asked: usize) -> usize {
+        let mut all = self.clone();
+        all.pools[pool].waiting = asked;
+        // The reserve is left to its owner.
+        all.shares()[pool].min(self.total.saturating_sub(self.kept(pool)))
+    }
+
     /// Work that began under another plan goes on here.
     pub fn take_over(&mut self, pool: usize, in_hand: usize) {
         self.pools[pool].in_hand += in_hand;
--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use plovershelf_facts::Start;
+use plovershelf_pools::Plan;
 use serde_json::Value;
 
 use crate::limits::Limits;
@@ -18,6 +19,8 @@
     pub stop_ms: f64,
     pub limits: Limits,
     pub start: Start,
+    /// Pools of offerings, where the operator has set any.
+    pub pools: Option<Plan>,
     /// The document itself, to tell later what has changed.
     pub told: Value,
 }
@@ -34,7 +37,9 @@
 const FIXED: [&str; 6] = ["name", "listen", "seed", "stop_ms", "limits", "settings"];
 
 pub fn from_environment() -> Result<Launch, String> {
-    read_file().and_then(|top| read(&top)).map_err(|e| format!("RELAY_CONFIG {e}"))
+    let mut launch = read_file().and_then(|top| read(&top)).map_err(|e| format!("RELAY_CONFIG {e}"))?;
+    launch.pools = pools(&launch.start.offerings)?;
+    Ok(launch)
 }
 
 fn read_file() -> Result<Value, String> {
@@ -44,6 +49,16 @@
     serde_json::from_str(&text).map_err(|e| format!("{shown}: does not parse: {e}"))
 }
 
+/// The file of pools that `PLOVERSHELF_POOLS` names, where it names one; no pools without.
+///
+/// Errors: all that is wrong with the file.
+pub fn pools(offerings: &[String]) -> Result<Option<Plan>, String> {
+    let Some(path) = std::env::var_os("PLOVERSHELF_POOLS") else { return Ok(None) };
+    let shown = path.to_string_lossy();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("PLOVERSHELF_POOLS {shown}: {e}"))?;
+    plovershelf_operator::pools::read(&shown, &text, offerings).map(Some).map_err(|wrong| wrong.to_string())
+}
+
 fn word<'a>(top: &'a Value, key: &str) -> Result<&'a str, String> {
     top[key].as_str().ok_or_else(|| format!("{key:?} is missing or no text"))
 }
@@ -97,6 +112,7 @@
         stop_ms: measure(top, "stop_ms")?,
         limits: Limits::of(measure(limits, "memory_mb")?, measure(limits, "sockets")? as usize),
         start: plovershelf_facts::read_value(&top["settings"], seed)?,
+        pools: None,
         told: top.clone(),
     })
 }
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -86,6 +86,8 @@
     pub closing_early_ms: f64,
     /// Connections are refused from this long before the kill at the latest.
     pub refuse_early_ms: f64,
+    /// Between two words to the log on the pools, where there are any.
+    pub pools_told_ms: f64,
     /// Lines a second in the log about what peers do wrong.
     pub complaints_a_second: u32,
 }
@@ -144,6 +146,7 @@
             exit_early_ms: 20.0,
             closing_early_ms: 150.0,
             refuse_early_ms: 200.0,
+            pools_told_ms: 5000.0,
             complaints_a_second: 10,
         }
     }
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -37,7 +37,8 @@
     let (slots, leaving) = (Rc::new(()), Rc::new(Cell::new(false)));
 
     let (move_agent, agent_moved) = async_channel::bounded(1);
-    let Launch { peers, told, .. } = launch;
+    let Launch { peers, told, pools, .. } = launch;
+    let offerings = launch.start.offerings.clone();
     let agent = agent::keep_link(peers.agent.clone(), agent_moved, events.clone(), limits.clone());
     executor.spawn(agent).detach();
     let ledger = ledger::keep_calls(executor, peers.ledger.clone(), orders, events.clone(), limits.clone());
@@ -52,6 +53,11 @@
             if matches!(signal, Ok(Signal::Hup)) {
                 peers.read_again(&told);
                 let _ = move_agent.try_send(());
+                match launch::pools(&offerings) {
+                    Ok(Some(plan)) => drop(events.send(Event::Pools(plan)).await),
+                    Ok(None) => {}
+                    Err(wrong) => tracing::warn!("the pools stay as they are: {wrong}"),
+                }
             } else {
                 let _ = events.send(Event::Leave).await;
             }
@@ -61,7 +67,8 @@
 
     tracing::info!("{} listens on {}", launch.name, launch.listen);
     let (start, stop_ms) = (launch.start, launch.stop_ms);
-    let mut owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
+    let owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
+    let mut owner = owner.with_pools(pools)?;
     let run = async {
         owner.run().await;
         // What was answered last is still on its way out of the connections' own tasks.
--- a/crates/plovershelf-server/src/messages.rs
+++ b/crates/plovershelf-server/src/messages.rs
@@ -39,6 +39,8 @@
         id: TryId,
         over: CallOver,
     },
+    /// The operator's file of pools was read again.
+    Pools(plovershelf_pools::Plan),
     Leave,
 }
 
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -3,6 +3,7 @@
 
 mod below;
 mod peers;
+mod pooled;
 mod work;
 
 use std::cell::Cell;
@@ -119,6 +120,9 @@
     grace_over: bool,
     over: bool,
     complaints: (u64, u32),
+    /// Pools of offerings, where an operator has set any, and when the log heard of them.
+    pooled: Option<pooled::Pooled>,
+    pools_told_at: f64,
 }
 
 fn unix_ms() -> f64 {
@@ -167,10 +171,20 @@
             grace_over: false,
             over: false,
             complaints: (0, 0),
+            pooled: None,
+            pools_told_at: 0.0,
             limits,
         }
     }
 
+    /// Pools of offerings as an operator has set them.
+    ///
+    /// Errors: what the plan has against the backend's facts.
+    pub fn with_pools(mut self, plan: Option<plovershelf_pools::Plan>) -> Result<Self, String> {
+        self.pooled = plan.map(|plan| pooled::Pooled::new(plan, &self.start.facts)).transpose()?;
+        Ok(self)
+    }
+
     /// Takes events and due times in turn until the notice to leave has been carried out.
     pub async fn run(&mut self) {
         while !self.over {
@@ -273,6 +287,7 @@
             Event::Agent(said) => self.hear(said),
             Event::Odd(what) => self.complain(&what),
             Event::CallOver { id, over } => self.call_over(id, over),
+            Event::Pools(plan) => self.replan(plan),
             Event::Leave => self.leave(),
         }
     }
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -70,6 +70,9 @@
             self.backend = Some(backend);
             tracing::info!("the agent is up, {}", if fresh { "fresh" } else { "warm" });
             self.carry_out(outcome);
+            let (runs, calls) = (self.start.facts.cores, self.start.facts.call_share.unwrap_or(f64::MAX));
+            // One a core until the module tells of its room.
+            self.hand_pools(runs, calls);
             return;
         }
         // Launches that the last link may have lost. For a run that is under way a second launch does nothing,
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -10,6 +10,7 @@
 impl Owner {
     pub(super) fn carry_out(&mut self, outcome: Outcome) {
         for change in outcome.changes {
+            self.pool_change(&change);
             self.carry_out_change(change);
         }
         let words = outcome.words;
@@ -22,6 +23,9 @@
         for note in words.notes {
             tracing::info!("{note}");
         }
+        if let Some((runs, calls)) = words.room {
+            self.hand_pools(runs, calls);
+        }
     }
 
     pub(super) fn carry_out_change(&mut self, change: Change) {
--- a/crates/plovershelf-server/tests/clients.rs
+++ b/crates/plovershelf-server/tests/clients.rs
@@ -36,6 +36,7 @@
         sockets: 512,
         stop_ms: 1200.0,
         logs: None,
+        pools: None,
     }
 }
 
--- a/crates/plovershelf-standins/src/backend.rs
+++ b/crates/plovershelf-standins/src/backend.rs
@@ -30,6 +30,8 @@
     pub stop_ms: f64,
     /// Where each one's log goes, by its name; nowhere without.
     pub logs: Option<PathBuf>,
+    /// The operator's file of pools.
+    pub pools: Option<PathBuf>,
 }
 
 pub struct Backend {
@@ -39,6 +41,7 @@
     file: PathBuf,
     program: PathBuf,
     log: Option<PathBuf>,
+    pools: Option<PathBuf>,
     child: Option<Child>,
     /// Ends that nobody asked for.
     pub crashes: u32,
@@ -106,9 +109,19 @@
             let file = folder.join(format!("{name}.json"));
             std::fs::write(&file, configuration.to_string())?;
             let log = plan.logs.as_ref().map(|logs| logs.join(format!("{name}.log")));
-            let program = plan.program.clone();
-            let mut backend =
-                Backend { name, address, agent, file, program, log, child: None, crashes: 0, told: false };
+            let (program, pools) = (plan.program.clone(), plan.pools.clone());
+            let mut backend = Backend {
+                name,
+                address,
+                agent,
+                file,
+                program,
+                log,
+                pools,
+                child: None,
+                crashes: 0,
+                told: false,
+            };
             backend.start()?;
             backends.push(backend);
         }
@@ -144,6 +157,9 @@
     pub fn start(&mut self) -> io::Result<()> {
         let mut command = Command::new(&self.program);
         command.env("RELAY_CONFIG", &self.file).stdin(Stdio::null()).stdout(Stdio::null());
+        if let Some(pools) = &self.pools {
+            command.env("PLOVERSHELF_POOLS", pools);
+        }
         match &self.log {
             Some(log) => {
                 let file = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -380,7 +380,7 @@
             self.ease += SMOOTH * (self.part_let_in() - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
-            let room = || (self.quotas().1 * self.facts.cores, self.calls_most);
+            let room = || (self.quotas().1 * self.facts.cores, self.calls_most.min(self.at_call_most()));
             self.out.words.room = self.pools.as_ref().map(|_| room());
         } else if now + 0.01 >= self.woken_for {
             // Superseded wakes come too: only the one that was waited for clears the way for the next.
@@ -470,10 +470,11 @@
     /// flood of one offering that takes all room from the others; harms where pools are drawn too narrow.
     fn pool_part(&self, offering: usize, part: f64) -> f64 {
         let Some((pool, room)) = self.pool_room(offering) else { return part };
-        let runs = self.hand.pooled[pool].0 as f64;
+        let (runs, calls) = self.hand.pooled[pool];
+        let (runs, calls) = (runs as f64, calls as f64);
         let holds = self.load() < self.quotas().1 && (self.hand.at_call as f64) < self.at_call_most();
         match runs {
-            runs if runs >= room.runs => 0.0,
+            runs if runs >= room.runs || calls >= room.calls => 0.0,
             runs if runs < room.kept && holds => 1.0,
             _ => part,
         }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -624,8 +624,10 @@
     backend.pooled(1.0, Some(dear_full));
     for (id, offering) in [(1, 3), (2, 3), (3, 0)] {
         backend.arrived(2.0, arrival(id, offering));
-        backend.wants_call(3.0, id);
     }
+    (1..=3).for_each(|id| drop(backend.wants_call(3.0, id)));
+    // What comes to it now would only wait behind them.
+    assert!(!let_in(&backend.arrived(3.0, arrival(4, 3)), 4));
     let calling = |backend: &Backend, id: u32| matches!(backend.state(id), Some(State::Calling { .. }));
     assert_eq!([1, 2, 3].map(|id| calling(&backend, id)), [true, false, true]);
     backend.call_ended(4.0, 1, CallEnd::Ok);
