--- a/crates/plovershelf-cli/src/demo.rs
+++ b/crates/plovershelf-cli/src/demo.rs
@@ -56,16 +56,13 @@
     let mut fleet =
         Fleet::start(&executor, clock, &plan).map_err(|error| format!("starting a backend: {error}"))?;
     let run = async {
-        if !fleet.up(clock, 10_000.0).await {
-            return Err("the backend did not come up within 10 s".to_string());
-        }
-        let taps = taps(&executor, clock, &fleet)?;
+        let (taps, members) = taps(&executor, clock, &fleet).await?;
         let tap = &taps[0];
         let mut askers = Vec::new();
         for number in 0..CLIENTS {
             let seed = options.seed * 1000 + number as u64 + 1;
             let terms = Terms { seed, advice: AdviceMeaning::LowestRank, ..Terms::default() };
-            let builder = Builder::new().members(&[tap.address]).number(number as u32).terms(terms);
+            let builder = Builder::new().members(&members).number(number as u32).terms(terms);
             let (client, drive) = builder.build()?;
             executor.spawn(drive).detach();
             askers.push(Asker::Library(client));
--- a/crates/plovershelf-cli/src/trial/client_overload.rs
+++ b/crates/plovershelf-cli/src/trial/client_overload.rs
@@ -1,5 +1,6 @@
 //! Demand past what the cores do: callers of the library against plain ones, the same demand for both.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use plovershelf_client::{AdviceMeaning, Builder, Terms};
@@ -43,15 +44,25 @@
     backends as f64 * CORES * 1000.0 / load::mean_work_ms()
 }
 
-/// A tap before each backend, through which reading costs the cores what it costs.
-pub fn taps(executor: &Executor, clock: Clock, fleet: &Fleet) -> Result<Vec<Tap>, String> {
+/// Waits until all backends are up, and puts a tap before each, through which reading costs the cores what it costs. The
+/// addresses are those that callers go to.
+pub async fn taps(
+    executor: &Executor,
+    clock: Clock,
+    fleet: &Fleet,
+) -> Result<(Vec<Tap>, Vec<SocketAddr>), String> {
+    if !fleet.up(clock, 10_000.0).await {
+        return Err("the backends did not come up within 10 s".to_string());
+    }
     let cost_ms = load::READING * load::mean_work_ms();
     let tap = |backend: &Backend| {
         let reading = Reading { agent: backend.agent.clone(), cost_ms };
         Tap::start(executor, clock, backend.address, Some(reading))
     };
     let taps: std::io::Result<Vec<Tap>> = fleet.backends.iter().map(tap).collect();
-    taps.map_err(|error| format!("starting taps: {error}"))
+    let taps = taps.map_err(|error| format!("starting taps: {error}"))?;
+    let members = taps.iter().map(|tap| tap.address).collect();
+    Ok((taps, members))
 }
 
 struct Played {
@@ -69,11 +80,7 @@
     let mut fleet =
         Fleet::start(executor, clock, &plan).map_err(|error| format!("starting backends: {error}"))?;
     let run = async {
-        if !fleet.up(clock, 10_000.0).await {
-            return Err("the backends did not come up within 10 s".to_string());
-        }
-        let taps = taps(executor, clock, &fleet)?;
-        let members: Vec<_> = taps.iter().map(|tap| tap.address).collect();
+        let (taps, members) = taps(executor, clock, &fleet).await?;
         let mut askers = Vec::new();
         for number in 0..CLIENTS {
             if !library {
--- a/crates/plovershelf-cli/src/trial/client_restart.rs
+++ b/crates/plovershelf-cli/src/trial/client_restart.rs
@@ -32,11 +32,7 @@
     let mut fleet =
         Fleet::start(executor, clock, &plan).map_err(|error| format!("starting backends: {error}"))?;
     let run = async {
-        if !fleet.up(clock, 10_000.0).await {
-            return Err("the backends did not come up within 10 s".to_string());
-        }
-        let mut taps = taps(executor, clock, &fleet)?;
-        let members: Vec<_> = taps.iter().map(|tap| tap.address).collect();
+        let (mut taps, members) = taps(executor, clock, &fleet).await?;
         let mut clients: Vec<Client> = Vec::new();
         for number in 0..CLIENTS {
             let terms = Terms {
--- a/crates/plovershelf-cli/src/trial/pools.rs
+++ b/crates/plovershelf-cli/src/trial/pools.rs
@@ -99,11 +99,7 @@
     let mut fleet =
         Fleet::start(executor, clock, &plan).map_err(|error| format!("starting backends: {error}"))?;
     let run = async {
-        if !fleet.up(clock, 10_000.0).await {
-            return Err("the backends did not come up within 10 s".to_string());
-        }
-        let taps = taps(executor, clock, &fleet)?;
-        let members: Vec<_> = taps.iter().map(|tap| tap.address).collect();
+        let (taps, members) = taps(executor, clock, &fleet).await?;
         let mut askers = Vec::new();
         for number in 0..CLIENTS {
             // Callers that neither throttle nor heed a rank, so that the flood reaches the backends.
