--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -400,3 +400,26 @@
     let peak_kb: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
     assert!(peak_kb < 24 << 10, "{peak_kb} kB");
 }
+
+#[test]
+fn pools_that_cannot_be_end_the_start_with_one_line_that_names_them() {
+    let told = Backend::start(r#"{"cores": 1.0, "memory_mb": 64, "sockets": 64}"#);
+    let file = told.configuration.with_extension("ini");
+    let own = told.configuration.with_extension("own.json");
+    let address = plovershelf_standins::free_address().expect("a free port").to_string();
+    std::fs::write(&own, told.text.replace(&told.address, &address)).expect("a file of its own");
+    for (text, named) in [
+        ("[pool a]\nofferings = plian\n", "did you mean \"plain\"?"),
+        ("[pool a]\nofferings = plain\nleast_runs = 9000\n", "the least of all pools add up to 9000"),
+    ] {
+        std::fs::write(&file, text).expect("a file of its own");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
+        command.env("RELAY_CONFIG", &own).env("PLOVERSHELF_POOLS", &file);
+        let output = command.output().expect("the program");
+        let said = String::from_utf8(output.stderr).expect("text");
+        let last = said.lines().last().unwrap_or_default();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(last.contains(named), "{said}");
+    }
+    [file, own].into_iter().for_each(|file| std::fs::remove_file(file).expect("it is there"));
+}
