--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,8 @@
 const AT_CALL_HARD: f64 = 1.5;
 const CALLERS_BACK: f64 = 0.9;
 const AT_CALL_SOFT: f64 = 0.33;
+/// The same while the cores are idle: then a few at calls are chance, not a slow dependency.
+const AT_CALL_SOFT_IDLE: f64 = 0.66;
 /// Weight of a period's reading in smoothed gauges; the least share that is advised.
 const SMOOTH: f64 = 0.15;
 const SHARE_LEAST: f64 = 0.1;
@@ -452,7 +454,7 @@
     }
 
     /// The part of arrivals let in: by even steps from all at the soft quota to none at the hard one. The
-    /// busy-core gate opens the soft band; those at calls are bounded the same way, without the gate.
+    /// busy-core gate opens the soft band; those at calls are bounded the same way, and later while the gate is open.
     fn part_let_in(&self) -> f64 {
         let steps = f64::from(STEPS);
         let stepped = |soft: f64, hard: f64, load: f64| {
@@ -460,9 +462,11 @@
         };
         let (soft, hard) = self.quotas();
         let mut part = stepped(soft, hard, self.load());
-        part = if part > 0.0 && self.busy < GATE_BUSY { 1.0 } else { part };
+        let idle = self.busy < GATE_BUSY;
+        part = if part > 0.0 && idle { 1.0 } else { part };
         let at_call_hard = self.at_call_most();
-        part.min(stepped(AT_CALL_SOFT * at_call_hard, at_call_hard, self.hand.at_call as f64))
+        let soft_part = if idle { AT_CALL_SOFT_IDLE } else { AT_CALL_SOFT };
+        part.min(stepped(soft_part * at_call_hard, at_call_hard, self.hand.at_call as f64))
     }
 
     /// The part of a pool's arrivals that is let in. A pool below what is kept for it is not cut while the crowd
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -401,6 +401,20 @@
     assert_eq!(backend.part_let_in(), 0.0);
 }
 
+#[test]
+fn idle_cores_cut_for_those_at_calls_later_but_by_steps_and_at_the_same_bound() {
+    let standing = |count: u32, busy: f64| {
+        let mut backend = running(count);
+        backend.busy = busy;
+        (1000..1000 + count).for_each(|id| backend.change(id, State::AtCall));
+        backend.part_let_in()
+    };
+    assert!(standing(3, 0.95) < 1.0);
+    assert_eq!(standing(3, 0.5), 1.0);
+    assert!((0.01..0.99).contains(&standing(5, 0.5)));
+    assert_eq!(standing(6, 0.5), 0.0);
+}
+
 #[test]
 fn runs_that_are_given_up_one_after_the_other_make_a_backend_stay_away() {
     let mut backend = running(20);
