--- /dev/null
+++ b/crates/plovershelf-group/src/members.rs
@@ -0,0 +1,630 @@
+//! Membership: who is there, found out by probes and carried along with them.
+//!
+//! The ordinary path: every period one other is asked ([`Message::Ping`]) in a shuffled round; it answers, and both carry
+//! a few pieces of news along. One that does not answer is asked through others; one that none of them reaches either is
+//! suspected, and dead when it has not objected in time. From SWIM: the round, the way through others, news carried along,
+//! suspicion that can be refuted by a higher stand. From Lifeguard: who fails to reach many doubts itself and waits longer,
+//! and a suspicion that several share ends sooner.
+//!
+//! | condition | left by |
+//! | --- | --- |
+//! | `Alive` | no answer by any way: `Suspected`; its own word: `Left` |
+//! | `Suspected` | its own word of a higher stand: `Alive`; the span of suspicion: `Dead` |
+//! | `Dead` | its own word of a higher stand: `Alive`; forgotten after a while |
+//! | `Left` | forgotten after a while |
+//!
+//! News of one member are ordered by its stand, which it alone raises, then by condition, so that all come to hold the same.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+
+use crate::council::Id;
+
+/// What a member says of itself; it never changes while its memory lasts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    pub id: Id,
+    pub name: String,
+    pub zone: String,
+    pub region: String,
+    pub address: SocketAddr,
+    /// When its memory was made, in Unix milliseconds: tells a namesake's newer memory from the older one.
+    pub born: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Condition {
+    Alive,
+    Suspected,
+    Dead,
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    pub about: About,
+    /// Raised by the member itself, to refute what is said of it or to change what it says.
+    pub stand: u32,
+    /// It does its work, not only answers probes.
+    pub fit: bool,
+    pub condition: Condition,
+    /// Who suspects it first.
+    pub by: Id,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    Ping {
+        nonce: u64,
+        news: Vec<News>,
+    },
+    Pong {
+        nonce: u64,
+        news: Vec<News>,
+    },
+    /// Please ask this one for me.
+    Through {
+        nonce: u64,
+        target: Id,
+        address: SocketAddr,
+        news: Vec<News>,
+    },
+    /// It answered.
+    Reached {
+        nonce: u64,
+        news: Vec<News>,
+    },
+    /// Part of what is known, for one that may have missed it; asks for the same back.
+    Exchange {
+        news: Vec<News>,
+        answer: bool,
+    },
+}
+
+/// Spans in milliseconds, counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Between two probes.
+    pub period_ms: f64,
+    /// An answer is late after this; then others are asked to try.
+    pub answer_ms: f64,
+    pub through: usize,
+    /// A suspicion that nobody shares lasts so long among ten members; one that three share this part of it.
+    pub suspicion_ms: f64,
+    pub shared_part: f64,
+    /// How many times longer all of it may get while this member doubts itself.
+    pub doubt_most: f64,
+    /// Pieces of news in one message, members that are known at once.
+    pub news: usize,
+    pub members: usize,
+    /// Between two exchanges with one of all members; how many it tells of.
+    pub exchange_ms: f64,
+    pub exchange: usize,
+    /// Between two tries to reach one that is held for dead, or a seed.
+    pub knock_ms: f64,
+    pub forget_ms: f64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms {
+            period_ms: 300.0,
+            answer_ms: 100.0,
+            through: 3,
+            suspicion_ms: 1000.0,
+            shared_part: 0.5,
+            doubt_most: 4.0,
+            news: 6,
+            members: 2000,
+            exchange_ms: 5000.0,
+            exchange: 40,
+            knock_ms: 500.0,
+            forget_ms: 600_000.0,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    news: News,
+    since: f64,
+    /// Who else suspects it, as far as that matters.
+    shared_by: BTreeSet<Id>,
+    /// Until it was first heard from here, its liveness is hearsay.
+    heard_at: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    target: Id,
+    began: f64,
+    /// Others have been asked; it is only asked for another, who waits for this nonce.
+    through: bool,
+    on_behalf: Option<(Id, u64)>,
+}
+
+/// A change that others in this process want to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    pub id: Id,
+    pub condition: Condition,
+}
+
+/// To whom: the memory that is meant, where it is known, at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Whereto {
+    pub id: Option<Id>,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: News,
+    terms: Terms,
+    table: BTreeMap<Id, Known>,
+    round: Vec<Id>,
+    probes: BTreeMap<u64, Probe>,
+    /// News under way, with how often each was told.
+    rumours: BTreeMap<Id, u32>,
+    seeds: Vec<SocketAddr>,
+    probe_at: f64,
+    exchange_at: f64,
+    knock_at: f64,
+    /// 0 while probes are answered; each that is not adds one.
+    doubt: f64,
+    chance: Pcg32,
+    send: Vec<(Whereto, Message)>,
+    changes: Vec<Change>,
+    now: f64,
+}
+
+/// Suspicions that are shared by so many more are as sure as they get.
+const SHARED_MOST: usize = 3;
+/// Probes out at once, own and others'.
+const PROBES_MOST: usize = 256;
+
+impl Members {
+    pub fn new(about: About, terms: Terms, seeds: Vec<SocketAddr>, seed: u64, now: f64) -> Self {
+        let by = about.id;
+        let mut chance = Pcg32::seed_from_u64(seed);
+        let me = News { about, stand: 1, fit: true, condition: Condition::Alive, by };
+        let first = chance.random::<f64>();
+        Members {
+            me,
+            terms,
+            table: BTreeMap::new(),
+            round: Vec::new(),
+            probes: BTreeMap::new(),
+            rumours: BTreeMap::new(),
+            seeds,
+            probe_at: now + terms.period_ms * first,
+            exchange_at: now + terms.exchange_ms * first,
+            knock_at: now,
+            doubt: 0.0,
+            chance,
+            send: Vec::new(),
+            changes: Vec::new(),
+            now,
+        }
+    }
+
+    pub fn me(&self) -> &News {
+        &self.me
+    }
+
+    /// All others that are known, the dead among them.
+    pub fn others(&self) -> impl Iterator<Item = (&News, f64)> {
+        self.table.values().map(|known| (&known.news, known.since))
+    }
+
+    pub fn find(&self, id: Id) -> Option<&News> {
+        if id == self.me.about.id {
+            return Some(&self.me);
+        }
+        self.table.get(&id).map(|known| &known.news)
+    }
+
+    /// When it last changed its condition here.
+    pub fn since(&self, id: Id) -> Option<f64> {
+        self.table.get(&id).map(|known| known.since)
+    }
+
+    /// When something of it last came here by itself.
+    pub fn heard_at(&self, id: Id) -> Option<f64> {
+        self.table.get(&id).map(|known| known.heard_at)
+    }
+
+    pub fn alive(&self) -> impl Iterator<Item = &News> {
+        let others = self.table.values().map(|known| &known.news);
+        std::iter::once(&self.me).chain(others).filter(|news| news.condition <= Condition::Suspected)
+    }
+
+    pub fn doubt(&self) -> f64 {
+        self.doubt
+    }
+
+    pub fn next_at(&self) -> f64 {
+        let answers = self
+            .probes
+            .values()
+            .map(|probe| probe.began + self.terms.answer_ms)
+            .fold(f64::INFINITY, f64::min);
+        self.probe_at.min(self.exchange_at).min(self.knock_at).min(answers.max(self.now + 1.0))
+    }
+
+    pub fn take(&mut self) -> (Vec<(Whereto, Message)>, Vec<Change>) {
+        (std::mem::take(&mut self.send), std::mem::take(&mut self.changes))
+    }
+
+    // ---- what happens to it ------------------------------------------------------------------------
+
+    pub fn tick(&mut self, now: f64) {
+        self.now = now;
+        self.late_answers();
+        self.suspicions();
+        if self.probe_at <= now {
+            self.probe_at = (self.probe_at + self.terms.period_ms * (1.0 + self.doubt / 2.0)).max(now + 1.0);
+            self.probe_next();
+        }
+        if self.knock_at <= now {
+            self.knock_at = now + self.terms.knock_ms;
+            self.knock();
+        }
+        if self.exchange_at <= now {
+            self.exchange_at = now + self.terms.exchange_ms * (0.5 + self.chance.random::<f64>());
+            self.exchange();
+        }
+    }
+
+    /// The process stood still: what seemed late was not, and those whose time ran out meanwhile get it anew.
+    pub fn awoke(&mut self, now: f64) {
+        self.now = now;
+        self.probes.clear();
+        for known in self.table.values_mut().filter(|known| known.news.condition == Condition::Suspected) {
+            known.since = now;
+        }
+        self.doubt = self.terms.doubt_most - 1.0;
+        self.probe_at = now;
+    }
+
+    /// Whether this member does its work.
+    pub fn fit(&mut self, now: f64, fit: bool) {
+        self.now = now;
+        if self.me.fit != fit {
+            self.me.fit = fit;
+            self.speak_up(self.me.stand);
+        }
+    }
+
+    /// This member goes, and says so to some.
+    pub fn leave(&mut self, now: f64) {
+        self.now = now;
+        self.me.condition = Condition::Left;
+        self.me.stand += 1;
+        self.rumours.insert(self.me.about.id, 0);
+        let mut others: Vec<Whereto> = self.alive_others();
+        others.shuffle(&mut self.chance);
+        for whereto in others.into_iter().take(8) {
+            let news = vec![self.me.clone()];
+            self.send.push((whereto, Message::Exchange { news, answer: false }));
+        }
+    }
+
+    /// A sender that is not known says nothing by itself; it is asked for what it is.
+    pub fn hear(&mut self, now: f64, from: Id, at: SocketAddr, message: Message) {
+        self.now = now;
+        if from == self.me.about.id || self.me.condition == Condition::Left {
+            return;
+        }
+        if let Some(known) = self.table.get_mut(&from) {
+            known.heard_at = now;
+        }
+        let back = Whereto { id: Some(from), address: self.address_of(from).unwrap_or(at) };
+        match message {
+            Message::Ping { nonce, news } => {
+                self.learn_all(news);
+                // One that is held for dead, or is unknown, hears so and can object.
+                let told = self.news_for(Some(from));
+                self.send.push((back, Message::Pong { nonce, news: told }));
+            }
+            Message::Pong { nonce, news } => {
+                self.learn_all(news);
+                self.answered(nonce, from);
+            }
+            Message::Through { nonce, target, address, news } => {
+                self.learn_all(news);
+                if self.probes.len() < PROBES_MOST {
+                    self.ping(Whereto { id: Some(target), address }, Some(target), Some((from, nonce)));
+                }
+            }
+            Message::Reached { nonce, news } => {
+                self.learn_all(news);
+                self.answered_through(nonce);
+            }
+            Message::Exchange { news, answer } => {
+                self.learn_all(news);
+                if answer {
+                    let news = self.some_news();
+                    self.send.push((back, Message::Exchange { news, answer: false }));
+                }
+            }
+        }
+    }
+
+    // ---- probes ------------------------------------------------------------------------------------
+
+    fn probe_next(&mut self) {
+        for _ in 0..2 {
+            while let Some(id) = self.round.pop() {
+                let Some(known) = self.table.get(&id) else { continue };
+                if known.news.condition <= Condition::Suspected {
+                    let address = known.news.about.address;
+                    return self.ping(Whereto { id: Some(id), address }, Some(id), None);
+                }
+            }
+            self.round = self.table.keys().copied().collect();
+            self.round.shuffle(&mut self.chance);
+        }
+    }
+
+    fn ping(&mut self, whereto: Whereto, target: Option<Id>, on_behalf: Option<(Id, u64)>) {
+        let nonce = self.chance.random();
+        if let Some(target) = target {
+            let probe = Probe { target, began: self.now, through: false, on_behalf };
+            self.probes.insert(nonce, probe);
+        }
+        let news = self.news_for(target);
+        self.send.push((whereto, Message::Ping { nonce, news }));
+    }
+
+    fn answered(&mut self, nonce: u64, from: Id) {
+        let Some(probe) = self.probes.remove(&nonce).filter(|probe| probe.target == from) else { return };
+        match probe.on_behalf {
+            Some((asker, nonce)) => {
+                let Some(address) = self.address_of(asker) else { return };
+                let news = self.news_for(Some(asker));
+                self.send.push((Whereto { id: Some(asker), address }, Message::Reached { nonce, news }));
+            }
+            None => self.doubt = (self.doubt - 1.0).max(0.0),
+        }
+    }
+
+    fn answered_through(&mut self, nonce: u64) {
+        // The others reach it: then it is the way from here that is bad, or this member that is slow.
+        if self.probes.remove(&nonce).is_some() {
+            self.doubt = (self.doubt - 0.5).max(0.0);
+        }
+    }
+
+    fn late_answers(&mut self) {
+        let stretch = 1.0 + self.doubt / 2.0;
+        let (answer, whole) = (self.terms.answer_ms * stretch, self.terms.period_ms * stretch);
+        let mut late: Vec<u64> = Vec::new();
+        let mut ask: Vec<(u64, Id)> = Vec::new();
+        for (nonce, probe) in &mut self.probes {
+            if self.now >= probe.began + whole {
+                late.push(*nonce);
+            } else if self.now >= probe.began + answer && !probe.through && probe.on_behalf.is_none() {
+                probe.through = true;
+                ask.push((*nonce, probe.target));
+            }
+        }
+        for (nonce, target) in ask {
+            let Some(address) = self.address_of(target) else { continue };
+            let mut others: Vec<Whereto> = self.alive_others();
+            others.retain(|other| other.id != Some(target));
+            others.shuffle(&mut self.chance);
+            for other in others.into_iter().take(self.terms.through) {
+                let news = self.news_for(other.id);
+                self.send.push((other, Message::Through { nonce, target, address, news }));
+            }
+        }
+        for nonce in late {
+            let Some(probe) = self.probes.remove(&nonce).filter(|probe| probe.on_behalf.is_none()) else {
+                continue;
+            };
+            self.doubt = (self.doubt + 1.0).min(self.terms.doubt_most - 1.0);
+            if let Some(known) =
+                self.table.get(&probe.target).filter(|k| k.news.condition <= Condition::Suspected)
+            {
+                let by = self.me.about.id;
+                let news = News { condition: Condition::Suspected, by, ..known.news.clone() };
+                self.learn(news);
+            }
+        }
+    }
+
+    /// Suspicions whose span is over become deaths. The span grows with the members, as news takes longer to reach all,
+    /// and shrinks with those that share it.
+    fn suspicions(&mut self) {
+        let members = self.table.len() as f64 + 1.0;
+        let longest = self.terms.suspicion_ms * members.log10().max(1.0) * (1.0 + self.doubt / 2.0);
+        let shortest = longest * self.terms.shared_part;
+        let over: Vec<News> = self
+            .table
+            .values()
+            .filter(|known| {
+                let shared = known.shared_by.len().saturating_sub(1).min(SHARED_MOST) as f64;
+                let part = (shared + 1.0).ln() / (SHARED_MOST as f64 + 1.0).ln();
+                known.news.condition == Condition::Suspected
+                    && self.now >= known.since + longest - (longest - shortest) * part
+            })
+            .map(|known| known.news.clone())
+            .collect();
+        for news in over {
+            self.learn(News { condition: Condition::Dead, by: self.me.about.id, ..news });
+        }
+        let forget = self.now - self.terms.forget_ms;
+        self.table.retain(|_, known| known.news.condition <= Condition::Suspected || known.since > forget);
+    }
+
+    /// Tries one that is held for dead, or a seed that is not known: so halves that were cut apart find each other.
+    fn knock(&mut self) {
+        let known: BTreeSet<SocketAddr> = self.alive().map(|news| news.about.address).collect();
+        let dead = self.table.values().filter(|known| known.news.condition == Condition::Dead);
+        let mut places: Vec<Whereto> = dead
+            .map(|known| Whereto { id: Some(known.news.about.id), address: known.news.about.address })
+            .filter(|place| !known.contains(&place.address))
+            .collect();
+        let seeds = self.seeds.iter().filter(|seed| !known.contains(*seed));
+        places.extend(seeds.map(|seed| Whereto { id: None, address: *seed }));
+        let Some(place) = places.get(self.chance.random_range(0..places.len().max(1))) else { return };
+        self.ping(*place, None, None);
+        if self.alive().count() == 1 {
+            // Alone, every seed is tried.
+            places.clone().into_iter().for_each(|place| self.ping(Whereto { id: None, ..place }, None, None));
+        }
+    }
+
+    fn exchange(&mut self) {
+        let others = self.alive_others();
+        let Some(other) = others.get(self.chance.random_range(0..others.len().max(1))) else { return };
+        let news = self.some_news();
+        self.send.push((*other, Message::Exchange { news, answer: true }));
+    }
+
+    // ---- news --------------------------------------------------------------------------------------
+
+    fn alive_others(&self) -> Vec<Whereto> {
+        let alive = self.table.values().filter(|known| known.news.condition <= Condition::Suspected);
+        alive
+            .map(|known| Whereto { id: Some(known.news.about.id), address: known.news.about.address })
+            .collect()
+    }
+
+    fn address_of(&self, id: Id) -> Option<SocketAddr> {
+        self.table.get(&id).map(|known| known.news.about.address)
+    }
+
+    /// How often a piece of news is told.
+    fn times(&self) -> u32 {
+        3 * (self.table.len() as f64 + 2.0).log2().ceil() as u32
+    }
+
+    /// What goes along: who this is, what is said of the one that it goes to, then what was told least.
+    fn news_for(&mut self, whom: Option<Id>) -> Vec<News> {
+        let mut told = Vec::with_capacity(self.terms.news + 2);
+        told.push(self.me.clone());
+        let of_it =
+            whom.and_then(|id| self.table.get(&id)).filter(|known| known.news.condition != Condition::Alive);
+        told.extend(of_it.map(|known| known.news.clone()));
+        let mut least: Vec<(u32, Id)> = self.rumours.iter().map(|(id, times)| (*times, *id)).collect();
+        least.sort_unstable();
+        let most = self.times();
+        for (times, id) in least.into_iter().take(self.terms.news) {
+            if id != self.me.about.id && Some(id) != whom {
+                told.extend(self.table.get(&id).map(|known| known.news.clone()));
+            }
+            if times + 1 >= most {
+                self.rumours.remove(&id);
+            } else {
+                self.rumours.insert(id, times + 1);
+            }
+        }
+        told
+    }
+
+    fn some_news(&mut self) -> Vec<News> {
+        let mut all: Vec<Id> = self.table.keys().copied().collect();
+        all.shuffle(&mut self.chance);
+        let some = all.into_iter().take(self.terms.exchange);
+        let mut news: Vec<News> = some.filter_map(|id| Some(self.table.get(&id)?.news.clone())).collect();
+        news.push(self.me.clone());
+        news
+    }
+
+    fn learn_all(&mut self, news: Vec<News>) {
+        let most = self.terms.exchange + self.terms.news + 2;
+        news.into_iter().take(most).for_each(|news| self.learn(news));
+    }
+
+    /// Takes in one piece of news. The one place where a condition changes.
+    fn learn(&mut self, news: News) {
+        let id = news.about.id;
+        if id == self.me.about.id {
+            // What is said of this one and does not fit is refuted.
+            if news.condition != Condition::Alive
+                && news.stand >= self.me.stand
+                && self.me.condition != Condition::Left
+            {
+                self.speak_up(news.stand);
+            }
+            return;
+        }
+        match self.table.get_mut(&id) {
+            Some(known) => {
+                let (old, new) = ((known.news.stand, known.news.condition), (news.stand, news.condition));
+                if new == old && news.condition == Condition::Suspected && known.shared_by.insert(news.by) {
+                    // One more that suspects it: worth telling on, as it ends the suspicion sooner.
+                    if known.shared_by.len() <= SHARED_MOST {
+                        known.news.by = news.by;
+                        self.rumours.insert(id, 0);
+                    }
+                }
+                if new <= old {
+                    return;
+                }
+                let condition_changes = known.news.condition != news.condition;
+                known.shared_by = BTreeSet::from([news.by]);
+                known.since = if condition_changes { self.now } else { known.since };
+                let condition = news.condition;
+                known.news = news;
+                if condition_changes {
+                    self.changes.push(Change { id, condition });
+                }
+            }
+            None => {
+                // The dead of old are of no use to one that never knew them.
+                let refused = news.condition > Condition::Suspected || self.table.len() >= self.terms.members;
+                let long = [&news.about.name, &news.about.zone, &news.about.region]
+                    .iter()
+                    .any(|word| word.len() > 64);
+                if refused || long || self.is_older_namesake(&news) {
+                    return;
+                }
+                self.replace_namesake(&news);
+                let (shared_by, condition) = (BTreeSet::from([news.by]), news.condition);
+                let known = Known { news, since: self.now, shared_by, heard_at: self.now };
+                self.table.insert(id, known);
+                self.changes.push(Change { id, condition });
+                let place = self.chance.random_range(0..=self.round.len());
+                self.round.insert(place, id);
+            }
+        }
+        self.rumours.insert(id, 0);
+    }
+
+    /// A name that comes back with another memory at the same address has lost its folder, or never had one: the old
+    /// memory is gone.
+    fn replace_namesake(&mut self, new: &News) {
+        let same = |known: &&Known| {
+            let about = &known.news.about;
+            about.name == new.about.name
+                && about.address == new.about.address
+                && known.news.condition < Condition::Dead
+        };
+        let old: Vec<News> = self.table.values().filter(same).map(|known| known.news.clone()).collect();
+        for news in old {
+            self.learn(News { condition: Condition::Dead, by: new.about.id, ..news });
+        }
+    }
+
+    /// News of a memory whose place has been taken by a newer one that lives. Guards against old news that would put the
+    /// newer one out; where a clock went back, the newer one waits until the older is found dead.
+    fn is_older_namesake(&self, news: &News) -> bool {
+        self.alive().any(|other| {
+            let (about, old) = (&other.about, &news.about);
+            about.name == old.name && about.address == old.address && about.born > old.born
+        })
+    }
+
+    fn speak_up(&mut self, over: u32) {
+        self.me.stand = self.me.stand.max(over) + 1;
+        self.rumours.insert(self.me.about.id, 0);
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-group/src/status.rs
@@ -0,0 +1,143 @@
+//! What a member tells people of itself and the group, and what they may ask of it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::council::Role;
+use crate::decided::Step;
+use crate::group::{era_number, Group};
+use crate::members::Condition;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    Status,
+    /// Begins a new council without these; see [`Group::recover`].
+    Recover {
+        lost: Vec<String>,
+    },
+    Replace {
+        voter: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Status(Box<Status>),
+    Done(String),
+    Refused(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    pub name: String,
+    pub memory: u64,
+    pub zone: String,
+    pub region: String,
+    pub address: String,
+    pub condition: String,
+    pub fit: bool,
+    pub in_view: bool,
+    pub voter: bool,
+    /// How long it has been in its condition, in milliseconds.
+    pub since_ms: f64,
+    /// By how many entries it lags behind the end of the leader's log; told by the leader of voters alone.
+    pub lag: Option<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    pub group: String,
+    pub name: String,
+    pub memory: u64,
+    /// The council's own number among those that were begun one after the other, and all of it.
+    pub council: u64,
+    pub era: u64,
+    pub term: u64,
+    pub role: String,
+    pub leads: bool,
+    pub leader: Option<String>,
+    pub decided: u64,
+    pub view: u64,
+    /// The memories of the view, in order.
+    pub view_members: Vec<u64>,
+    /// By which view it may act at this moment.
+    pub may_act: Option<u64>,
+    /// For how long no leader's word has come, where that is longer than elections take.
+    pub undecided_ms: Option<f64>,
+    pub keeps: bool,
+    pub members: Vec<MemberStatus>,
+    pub history: Vec<Step>,
+    pub words: Vec<(String, u64)>,
+}
+
+fn condition(condition: Condition) -> &'static str {
+    match condition {
+        Condition::Alive => "alive",
+        Condition::Suspected => "suspected",
+        Condition::Dead => "dead",
+        Condition::Left => "left",
+    }
+}
+
+fn role(role: &Role) -> &'static str {
+    match role {
+        Role::Outside => "no voter",
+        Role::Returning { .. } => "returning",
+        Role::Following => "following",
+        Role::Asking { .. } => "asking for votes",
+        Role::Standing { .. } => "standing",
+        Role::Leading => "leading",
+        Role::Mute => "mute: its folder takes nothing",
+    }
+}
+
+impl Status {
+    pub fn of(group: &Group, name: &str, now: f64) -> Self {
+        let council = group.council();
+        let (view, own) = (group.view(), group.about());
+        let last = council.kept().last().index;
+        let matched = council.matched();
+        let line = |news: &crate::members::News, since: f64| {
+            let about = &news.about;
+            let matched = matched.iter().find(|(id, _)| *id == about.id && council.leads());
+            MemberStatus {
+                name: about.name.clone(),
+                memory: about.id.0,
+                zone: about.zone.clone(),
+                region: about.region.clone(),
+                address: about.address.to_string(),
+                condition: condition(news.condition).into(),
+                fit: news.fit,
+                in_view: view.members.contains_key(&about.id),
+                voter: council.voters().contains(&about.id),
+                since_ms: now - since,
+                lag: matched
+                    .filter(|_| council.voters().contains(&about.id))
+                    .map(|(_, matched)| last - matched),
+            }
+        };
+        let mut members: Vec<MemberStatus> =
+            group.members().others().map(|(news, since)| line(news, since)).collect();
+        members.push(line(group.members().me(), 0.0));
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        Status {
+            group: name.to_string(),
+            name: own.name.clone(),
+            memory: own.id.0,
+            council: era_number(council.era()),
+            era: council.era(),
+            term: council.term(),
+            role: role(council.role()).into(),
+            leads: council.leads(),
+            leader: group.leader().and_then(|id| group.name_of(id)),
+            decided: council.decided(),
+            view: view.number,
+            view_members: view.members.keys().map(|id| id.0).collect(),
+            may_act: group.may_act(now),
+            undecided_ms: group.undecided_since().map(|since| now - since.max(0.0)),
+            keeps: *council.role() != Role::Mute,
+            members,
+            history: council.state().steps.iter().cloned().collect(),
+            words: council.state().words.iter().map(|(key, word)| (key.clone(), word.number)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-group/tests/broken.rs
@@ -0,0 +1,21 @@
+//! A vote without its fence is caught by the checker: the same walk as with it, which finds nothing.
+
+mod walk;
+
+use plovershelf_group::broken::{set, Broken};
+use stateright::{Checker, Model};
+use walk::{Folder, Group, Left};
+
+#[test]
+fn a_voter_that_trusts_a_folder_that_was_set_back_is_caught() {
+    let left = Left { elections: 2, beats: 0, crashes: 1, decisions: 1, doubles: 0, breaks: 0 };
+    let group = || Group { voters: 3, left, folders: vec![Folder::SetBack] };
+    set(Some(Broken::VoteWithoutFence));
+    let most = 20_000_000;
+    let broken = group().checker().threads(4).target_state_count(most).spawn_bfs().join();
+    let found: Vec<&str> =
+        broken.discoveries().keys().copied().filter(|what| *what != "something is decided").collect();
+    set(None);
+    assert!(!found.is_empty(), "{} states", broken.unique_state_count());
+    println!("caught: {found:?} after {} states", broken.unique_state_count());
+}
--- /dev/null
+++ b/crates/plovershelf-model/src/group.rs
@@ -0,0 +1,644 @@
+//! Groups on simulated time: the code that serves, many members, a schedule of faults, and an audit that looks on.
+
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+use plovershelf_group::council::{Id, Kept, Role};
+use plovershelf_group::decided::Decided;
+use plovershelf_group::group::{Envelope, Event as Told, Group, Start, Terms};
+use plovershelf_group::members::{About, Condition};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::audit::{Audit, Event, Seen};
+use crate::net::{Net, Queue};
+use crate::schedule::{third, Fault, Folder, Schedule, CALM_MS};
+use crate::statistics::Spread;
+
+/// What a run is like.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub schedule: Schedule,
+    pub seed: u64,
+    pub terms: Terms,
+    /// Without folders each start is a new memory.
+    pub folders: bool,
+    /// Founders of the group, the first voters.
+    pub founders: usize,
+    pub way_ms: f64,
+    pub between_zones_ms: f64,
+    /// Bytes are counted by their frames; costs time.
+    pub count_bytes: bool,
+    /// It ends so long after the last fault, or at this time where there are no faults.
+    pub span_ms: f64,
+    pub keep_history: bool,
+    /// Recoveries that operators ask for: when, of which member, naming whom lost.
+    pub recoveries: Vec<(f64, usize, Vec<String>)>,
+}
+
+impl Plan {
+    pub fn of(schedule: Schedule, seed: u64) -> Self {
+        Plan {
+            span_ms: schedule.ends_ms() + 8000.0,
+            schedule,
+            seed,
+            terms: Terms::default(),
+            folders: true,
+            founders: 3,
+            way_ms: 0.5,
+            between_zones_ms: 0.5,
+            count_bytes: false,
+            keep_history: false,
+            recoveries: Vec::new(),
+        }
+    }
+}
+
+/// What came of a run.
+#[derive(Default)]
+pub struct Came {
+    pub audit: Audit,
+    pub history: Vec<Event>,
+    pub views: u64,
+    /// Members put out that no fault had touched of late.
+    pub healthy_put_out: Vec<(f64, usize)>,
+    /// From a death until a view without it, and until all that live know of it.
+    pub put_out_ms: Spread,
+    pub known_ms: Spread,
+    /// From the end of the last fault until something new is agreed on.
+    pub agreed_after_ms: Option<f64>,
+    /// Members whose word of who belongs is not the last one at the end.
+    pub lagging: usize,
+    /// Live members that are in no view at the end.
+    pub left_out: usize,
+    pub bytes: u64,
+    pub messages: u64,
+    pub member_seconds: f64,
+    /// What came of recoveries that were asked for, in their order.
+    pub recovered: Vec<Result<u64, String>>,
+    /// How each member stands at the end, a line each.
+    pub end: Vec<String>,
+}
+
+enum Thing {
+    Message { to: usize, from: SocketAddr, envelope: Box<Envelope> },
+    Tick { member: usize, life: u64 },
+    Begin(usize),
+    End(usize),
+    Look,
+    Snapshot,
+    Propose,
+    Wake { member: usize },
+    Recover(usize),
+}
+
+/// What a folder holds: whose memory, since when, and what it keeps.
+type Held = Option<(Id, u64, Kept<Decided>)>;
+
+struct Place {
+    group: Option<Group>,
+    /// What the folder holds, and what it held a second ago and before.
+    folder: Held,
+    old: VecDeque<Held>,
+    life: u64,
+    rate: f64,
+    offset: f64,
+    wall: f64,
+    stopped: bool,
+    full: bool,
+    fit: bool,
+    waiting: Vec<(SocketAddr, Envelope)>,
+    tick_at: f64,
+    touched: f64,
+    /// Faults that hold it down.
+    down: u32,
+    view: u64,
+    led: (u64, u64),
+    acts: Option<u64>,
+}
+
+pub struct World {
+    plan: Plan,
+    queue: Queue<Thing>,
+    net: Net,
+    places: Vec<Place>,
+    chance: Pcg32,
+    came: Came,
+    /// Deaths that are not yet in a view, or not known to all: who, when.
+    dying: Vec<(Id, f64, bool, bool)>,
+    over_at: f64,
+    probe: u64,
+    agreed: Option<f64>,
+}
+
+fn address(member: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (member >> 8) as u8, member as u8], 7400))
+}
+
+impl World {
+    pub fn run(plan: Plan) -> Came {
+        let members = plan.schedule.members;
+        let mut chance = Pcg32::seed_from_u64(plan.seed);
+        let mut net = Net::new(chance.random(), plan.way_ms);
+        net.between_zones_ms = plan.between_zones_ms;
+        let drift = plan.terms.council.drift;
+        let places = (0..members)
+            .map(|_| Place {
+                group: None,
+                folder: None,
+                old: VecDeque::new(),
+                life: 0,
+                rate: 1.0 + drift * 0.5 * (2.0 * chance.random::<f64>() - 1.0),
+                offset: 1e6 * chance.random::<f64>(),
+                wall: 0.0,
+                stopped: false,
+                full: false,
+                fit: true,
+                waiting: Vec::new(),
+                tick_at: f64::INFINITY,
+                touched: f64::NEG_INFINITY,
+                down: 0,
+                view: 0,
+                led: (0, 0),
+                acts: None,
+            })
+            .collect();
+        let over_at = plan.schedule.steps.iter().map(|s| s.at_ms + s.for_ms).fold(0.0, f64::max);
+        let mut world = World {
+            plan,
+            queue: Queue::default(),
+            net,
+            places,
+            chance,
+            came: Came::default(),
+            dying: Vec::new(),
+            over_at,
+            probe: 0,
+            agreed: None,
+        };
+        world.play();
+        let World { mut came, net, queue, places, .. } = world;
+        came.audit.finish(queue.now());
+        (came.messages, came.bytes) = (net.sent, net.bytes);
+        came.member_seconds = queue.now() / 1000.0 * members as f64;
+        let newest =
+            places.iter().filter_map(|p| p.group.as_ref()).map(|g| g.view().number).max().unwrap_or(0);
+        for place in &places {
+            let Some(group) = &place.group else { continue };
+            came.lagging += usize::from(group.view().number < newest);
+            came.left_out += usize::from(!group.view().members.contains_key(&group.about().id));
+            let council = group.council();
+            came.end.push(format!(
+                "{} {:x} era {} term {} {:?} voters {:?} last {:?} decided {} view {} of {} alive {} leader {:x?} sure {:.0} in view {} {:?}",
+                group.about().name, group.about().id.0, council.era(), council.term(), council.role(), council.voters(),
+                council.kept().last(), council.decided(), group.view().number, group.view().members.len(),
+                group.members().alive().count(), group.leader(), council.sure_until() - place.offset, group.view().members.contains_key(&group.about().id), group.differing()
+            ));
+        }
+        came.views = newest;
+        came
+    }
+
+    fn play(&mut self) {
+        for member in 0..self.places.len() {
+            self.start(member);
+        }
+        for (place, step) in self.plan.schedule.steps.clone().into_iter().enumerate() {
+            self.queue.put(step.at_ms, Thing::Begin(place));
+            self.queue.put(step.at_ms + step.for_ms, Thing::End(place));
+        }
+        for (place, (at, ..)) in self.plan.recoveries.clone().into_iter().enumerate() {
+            self.queue.put(at, Thing::Recover(place));
+        }
+        self.queue.put(20.0, Thing::Look);
+        self.queue.put(1000.0, Thing::Snapshot);
+        self.queue.put(200.0, Thing::Propose);
+        while let Some(thing) = self.queue.take_next() {
+            if self.queue.now() > self.plan.span_ms {
+                break;
+            }
+            match thing {
+                Thing::Message { to, from, envelope } => {
+                    let place = &mut self.places[to];
+                    if place.stopped {
+                        // What a stopped process is sent lies there until it wakes, as far as there is room.
+                        if place.waiting.len() < 256 {
+                            place.waiting.push((from, *envelope));
+                        }
+                    } else {
+                        self.tell(to, |group, now| group.hear(now, *envelope));
+                    }
+                }
+                Thing::Tick { member, life } => {
+                    if self.places[member].life == life && !self.places[member].stopped {
+                        self.places[member].tick_at = f64::INFINITY;
+                        self.tell(member, |group, now| group.tick(now));
+                    }
+                }
+                Thing::Begin(place) => self.fault(place, true),
+                Thing::End(place) => self.fault(place, false),
+                Thing::Look => {
+                    self.look();
+                    self.queue.put(self.queue.now() + 20.0, Thing::Look);
+                }
+                Thing::Snapshot => {
+                    let now = self.queue.now();
+                    for place in &mut self.places {
+                        place.old.push_back(place.folder.clone());
+                        if place.old.len() > 20 {
+                            place.old.pop_front();
+                        }
+                    }
+                    self.queue.put(now + 1000.0, Thing::Snapshot);
+                }
+                Thing::Propose => self.propose(),
+                Thing::Wake { member } => self.wake(member),
+                Thing::Recover(place) => {
+                    let (_, member, lost) = self.plan.recoveries[place].clone();
+                    let mut refused = None;
+                    self.tell(member, |group, now| refused = group.recover(now, &lost).err());
+                    self.came.recovered.extend(refused.map(Err));
+                }
+            }
+        }
+    }
+
+    // ---- one member --------------------------------------------------------------------------------
+
+    fn clock(&self, member: usize) -> f64 {
+        let place = &self.places[member];
+        place.offset + self.queue.now() * place.rate
+    }
+
+    fn start(&mut self, member: usize) {
+        let now = self.queue.now();
+        let place = &mut self.places[member];
+        place.life += 1;
+        let wall = now + place.wall + 1.7e12;
+        let (id, born, kept) = match place.folder.clone().filter(|_| self.plan.folders) {
+            Some((id, born, kept)) => (id, born, Some(kept)),
+            None => (Id(self.chance.random::<u64>() | 1), wall as u64, None),
+        };
+        if self.plan.folders && kept.is_none() {
+            place.folder = Some((id, born, Kept::nothing(Decided::default())));
+        }
+        let zones = self.plan.schedule.zones.max(1);
+        let about = About {
+            id,
+            name: format!("n{}", member + 1),
+            zone: format!("z{}", member % zones + 1),
+            region: "r1".into(),
+            address: address(member),
+            born,
+        };
+        let start = Start {
+            about,
+            terms: self.plan.terms.clone(),
+            seeds: (0..self.plan.founders).map(address).collect(),
+            founders: (0..self.plan.founders).map(|n| format!("n{}", n + 1)).collect(),
+            kept,
+            seed: self.chance.random(),
+        };
+        (place.view, place.led, place.acts) = (0, (0, 0), None);
+        let fit = place.fit;
+        // One that is back with its memory is dead no longer.
+        self.dying.retain(|dying| dying.0 != id);
+        let local = self.clock(member);
+        let mut group = Group::new(start, local);
+        group.fit(local, fit);
+        self.places[member].group = Some(group);
+        self.tell(member, |group, now| group.tick(now));
+    }
+
+    fn kill(&mut self, member: usize, folder: Folder) {
+        let now = self.queue.now();
+        let place = &mut self.places[member];
+        let Some(group) = place.group.take() else { return };
+        let id = group.about().id;
+        place.waiting.clear();
+        place.tick_at = f64::INFINITY;
+        place.life += 1;
+        place.stopped = false;
+        self.dying.push((id, now, false, false));
+        let lost = match folder {
+            Folder::Kept => !self.plan.folders,
+            Folder::Wiped => {
+                place.folder = None;
+                true
+            }
+            Folder::Old => {
+                // How it was some seconds ago; a memory that is set back may speak again, as it is made to ask first.
+                let back = self.chance.random_range(1..=8usize);
+                let old = place.old.len().checked_sub(back).and_then(|at| place.old.get(at));
+                place.folder = old.cloned().flatten();
+                place.folder.as_ref().is_none_or(|(old, ..)| *old != id)
+            }
+        };
+        if lost {
+            self.see(Seen::Lost { memory: id.0 });
+        }
+    }
+
+    /// One call of a member, and all that follows from it.
+    fn tell(&mut self, member: usize, ask: impl FnOnce(&mut Group, f64)) {
+        let local = self.clock(member);
+        let Some(group) = self.places[member].group.as_mut() else { return };
+        ask(group, local);
+        let mut out = group.take();
+        let place = &mut self.places[member];
+        if !out.save.is_empty() && self.plan.folders {
+            if place.full {
+                let Some(group) = place.group.as_mut() else { return };
+                group.keeps(local, false);
+                out.send.retain(|(_, envelope)| !envelope.say.rests_on_folder());
+                out.save.clear();
+            } else if let Some((_, _, kept)) = &mut place.folder {
+                out.save.drain(..).for_each(|record| kept.take(record));
+            }
+        }
+        for (whereto, envelope) in out.send {
+            self.post(member, whereto.address, envelope);
+        }
+        for event in out.events {
+            match event {
+                Told::View(_) => self.see_view(member),
+                Told::Recovered(outcome) => self.came.recovered.push(outcome),
+                _ => {}
+            }
+        }
+        self.observe(member);
+        self.schedule_tick(member);
+    }
+
+    fn schedule_tick(&mut self, member: usize) {
+        let place = &self.places[member];
+        let Some(group) = &place.group else { return };
+        let at = (group.next_at() - place.offset) / place.rate;
+        if at < place.tick_at - 0.001 {
+            let life = place.life;
+            self.places[member].tick_at = at;
+            self.queue.put(at, Thing::Tick { member, life });
+        }
+    }
+
+    fn post(&mut self, from: usize, at: SocketAddr, envelope: Envelope) {
+        let SocketAddr::V4(v4) = at else { return };
+        let [_, _, high, low] = v4.ip().octets();
+        let to = usize::from(high) << 8 | usize::from(low);
+        if to >= self.places.len() {
+            return;
+        }
+        let bytes =
+            if self.plan.count_bytes { plovershelf_group::frames::encode(&envelope).len() } else { 0 };
+        let zones = self.plan.schedule.zones;
+        for way in self.net.ways(from, to, zones, bytes) {
+            let at = self.queue.now() + way;
+            let thing = Thing::Message { to, from: address(from), envelope: Box::new(envelope.clone()) };
+            self.queue.put(at, thing);
+        }
+    }
+
+    fn wake(&mut self, member: usize) {
+        // Before it hears or does anything, it might go on with what it was about to do.
+        self.observe(member);
+        let waiting = std::mem::take(&mut self.places[member].waiting);
+        self.places[member].tick_at = f64::INFINITY;
+        self.tell(member, |group, now| group.tick(now));
+        for (_, envelope) in waiting {
+            self.tell(member, |group, now| group.hear(now, envelope));
+        }
+    }
+
+    // ---- faults ------------------------------------------------------------------------------------
+
+    fn fault(&mut self, place: usize, begins: bool) {
+        let step = self.plan.schedule.steps[place].clone();
+        let (now, count) = (self.queue.now(), self.places.len());
+        for member in step.fault.touches(count) {
+            self.places[member].touched = if begins { f64::INFINITY } else { now };
+        }
+        if self.plan.keep_history {
+            let text = format!("{} {step}", if begins { "begins" } else { "ends" });
+            self.see(Seen::Fault { text });
+        }
+        match step.fault {
+            Fault::Cut { these, those, one_way } => {
+                for one in &these {
+                    for other in &those {
+                        self.net.cut(*one, *other, begins);
+                        if !one_way {
+                            self.net.cut(*other, *one, begins);
+                        }
+                    }
+                }
+            }
+            Fault::Loss { share } => {
+                self.net.loss = (self.net.loss + if begins { share } else { -share }).max(0.0)
+            }
+            Fault::Slow { member, by_ms } => self.net.slow(member, begins.then_some(by_ms)),
+            Fault::Kill { member, folder } => self.down(member, begins, folder),
+            Fault::KillThird { first } => third(first, count)
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|m| self.down(m, begins, Folder::Kept)),
+            Fault::Stop { member } => {
+                self.places[member].stopped = begins && self.places[member].group.is_some();
+                if !begins {
+                    self.queue.put(now, Thing::Wake { member });
+                }
+            }
+            Fault::Unfit { member } => {
+                self.places[member].fit = !begins;
+                self.tell(member, |group, now| group.fit(now, !begins));
+            }
+            Fault::Full { member } => {
+                self.places[member].full = begins;
+                if !begins {
+                    // What was not kept meanwhile is written first, all of it.
+                    let place = &mut self.places[member];
+                    if let (Some(group), Some((_, _, kept))) = (&place.group, &mut place.folder) {
+                        *kept = group.council().kept().clone();
+                    }
+                    self.tell(member, |group, now| group.keeps(now, true));
+                }
+            }
+            Fault::Clock { member, by_ms } => self.places[member].wall = if begins { by_ms } else { 0.0 },
+        }
+    }
+
+    /// Members that several faults hold down come back when the last of them is over.
+    fn down(&mut self, member: usize, begins: bool, folder: Folder) {
+        if begins {
+            self.places[member].down += 1;
+            if self.places[member].group.is_some() {
+                self.kill(member, folder);
+            } else if folder == Folder::Wiped {
+                if let Some((id, ..)) = self.places[member].folder.take() {
+                    self.see(Seen::Lost { memory: id.0 });
+                }
+            }
+            return;
+        }
+        self.places[member].down -= 1;
+        if self.places[member].down == 0 && self.places[member].group.is_none() {
+            self.start(member);
+        }
+    }
+
+    // ---- looking on --------------------------------------------------------------------------------
+
+    fn see(&mut self, seen: Seen) {
+        let event = Event { at: self.queue.now(), seen };
+        self.came.audit.take(&event);
+        if self.plan.keep_history {
+            self.came.history.push(event);
+        }
+    }
+
+    fn see_view(&mut self, member: usize) {
+        let Some(group) = &self.places[member].group else { return };
+        let (memory, era) = (group.about().id.0, group.council().era());
+        let view = group.view().clone();
+        let members = view.members.keys().map(|id| id.0).collect();
+        let newest = self.places.iter().all(|place| place.view < view.number);
+        self.places[member].view = view.number;
+        self.see(Seen::View { memory, era, number: view.number, members });
+        if !newest {
+            return;
+        }
+        // The first that holds it: who was put out by it, and was anything wrong with them?
+        let now = self.queue.now();
+        for (place, other) in self.places.iter().enumerate() {
+            let Some(id) = other.group.as_ref().map(|group| group.about().id) else { continue };
+            let was = group_steps_left(self.places[member].group.as_ref(), id);
+            if was && now - other.touched > HEALTHY_AFTER_MS && self.calm_since(now) {
+                self.came.healthy_put_out.push((now, place));
+            }
+        }
+        for dying in self.dying.iter_mut().filter(|dying| !dying.2) {
+            if !view.members.contains_key(&dying.0) {
+                dying.2 = true;
+                self.came.put_out_ms.put(now - dying.1);
+            }
+        }
+    }
+
+    /// No fault of the network as a whole is under way.
+    fn calm_since(&self, now: f64) -> bool {
+        !self.plan.schedule.steps.iter().any(|step| {
+            let wide = matches!(step.fault, Fault::Loss { .. } | Fault::Cut { .. } | Fault::KillThird { .. });
+            wide && step.at_ms <= now && now < step.at_ms + step.for_ms + HEALTHY_AFTER_MS
+        })
+    }
+
+    /// What a member could do at this moment.
+    fn observe(&mut self, member: usize) {
+        let local = self.clock(member);
+        let place = &self.places[member];
+        if place.stopped {
+            return;
+        }
+        let Some(group) = &place.group else { return };
+        let (memory, era, term) = (group.about().id.0, group.council().era(), group.council().term());
+        let acts = group.may_act(local);
+        let leads = *group.council().role() == Role::Leading;
+        let (led, acted) = (place.led, place.acts);
+        if leads && led != (era, term) {
+            self.places[member].led = (era, term);
+            self.see(Seen::Leads { memory, era, term });
+        }
+        if acts != acted {
+            self.places[member].acts = acts;
+        }
+        if let Some(view) = acts {
+            let event = Event { at: self.queue.now(), seen: Seen::Acts { memory, era, view } };
+            self.came.audit.take(&event);
+            if self.plan.keep_history && acts != acted {
+                self.came.history.push(event);
+            }
+        }
+    }
+
+    /// Every member as it stands; deaths that all have heard of; false ones.
+    fn look(&mut self) {
+        for member in 0..self.places.len() {
+            self.observe(member);
+            self.see_log(member);
+        }
+        let now = self.queue.now();
+        let live: Vec<&Group> =
+            self.places.iter().filter(|p| !p.stopped).filter_map(|p| p.group.as_ref()).collect();
+        for dying in self.dying.iter_mut().filter(|dying| !dying.3) {
+            let known = live.iter().all(|group| {
+                let news = group.members().find(dying.0);
+                news.is_none_or(|news| news.condition >= Condition::Dead)
+            });
+            if known {
+                dying.3 = true;
+                self.came.known_ms.put(now - dying.1);
+            }
+        }
+    }
+
+    /// The newest entries that it holds for decided, each held against what others hold there.
+    fn see_log(&mut self, member: usize) {
+        let Some(group) = &self.places[member].group else { return };
+        let (memory, era, council) = (group.about().id.0, group.council().era(), group.council());
+        let from = council.decided().saturating_sub(4).max(council.kept().base.at.index);
+        let Some((before, entries)) = council.since(from) else { return };
+        let seen: Vec<Seen> = entries
+            .iter()
+            .enumerate()
+            .map(|(place, entry)| {
+                let mut hasher = DefaultHasher::new();
+                entry.hash(&mut hasher);
+                Seen::Decided { memory, era, index: before.index + 1 + place as u64, hash: hasher.finish() }
+            })
+            .collect();
+        let at = self.queue.now();
+        for seen in seen {
+            self.came.audit.take(&Event { at, seen });
+        }
+    }
+
+    /// Someone proposes something five times a second; the first that is agreed after the last fault is what counts.
+    fn propose(&mut self) {
+        let now = self.queue.now();
+        let healthy: Vec<usize> = (0..self.places.len())
+            .filter(|m| self.places[*m].group.is_some() && !self.places[*m].stopped)
+            .collect();
+        if let Some(member) = healthy.get(self.chance.random_range(0..healthy.len().max(1))).copied() {
+            let held = self.places[member]
+                .group
+                .as_ref()
+                .and_then(|g| g.word("probe"))
+                .map_or(0, |word| word.number);
+            if now > self.over_at && held > self.probe && self.agreed.is_none() && self.probe > 0 {
+                self.agreed = Some(now);
+                self.came.agreed_after_ms = Some(now - self.over_at);
+            }
+            if now <= self.over_at {
+                self.probe = self
+                    .places
+                    .iter()
+                    .filter_map(|p| p.group.as_ref()?.word("probe"))
+                    .map(|w| w.number)
+                    .max()
+                    .unwrap_or(0);
+            }
+            self.tell(member, |group, now| {
+                group.propose(now, "probe", held + 1, vec![1, 2, 3]);
+            });
+        }
+        self.queue.put(now + 200.0, Thing::Propose);
+    }
+}
+
+/// One that no fault has touched for so long counts as healthy.
+const HEALTHY_AFTER_MS: f64 = CALM_MS;
+
+fn group_steps_left(group: Option<&Group>, id: Id) -> bool {
+    let steps = group.map(|group| &group.council().state().steps);
+    steps.and_then(|steps| steps.back()).is_some_and(|step| step.left.iter().any(|(left, _)| *left == id))
+}
--- /dev/null
+++ b/crates/plovershelf-model/src/lib.rs
@@ -0,0 +1,9 @@
+//! Many processes at once without any: simulated time and network for the very state machines that serve, schedules of
+//! faults that play here and on real processes alike, histories, and the audit that judges both by the same promises.
+
+pub mod audit;
+pub mod group;
+pub mod net;
+pub mod plot;
+pub mod schedule;
+pub mod statistics;
--- /dev/null
+++ b/crates/plovershelf-model/tests/groups.rs
@@ -0,0 +1,195 @@
+//! Groups on simulated time under schedules that are fixed: the same verdict each time.
+
+use plovershelf_model::group::{Came, Plan, World};
+use plovershelf_model::schedule::Schedule;
+
+fn plan(text: &str) -> Plan {
+    let schedule: Schedule = text.parse().expect("a schedule");
+    Plan::of(schedule, 11)
+}
+
+fn play(text: &str) -> Came {
+    World::run(plan(text))
+}
+
+/// No promise is broken, all belong, all know it, and something new is agreed on within the span.
+fn well(came: &Came, within_ms: f64) {
+    assert!(came.audit.broken.is_empty(), "{:?}", came.audit.broken);
+    assert_eq!((came.lagging, came.left_out), (0, 0), "{:#?}", came.end);
+    assert!(
+        came.agreed_after_ms.is_some_and(|ms| ms <= within_ms),
+        "{:?} {:#?}",
+        came.agreed_after_ms,
+        came.end
+    );
+}
+
+const NINE: &str = "members 9 zones 3\n";
+
+fn nine(steps: &str) -> Came {
+    play(&format!("{NINE}{steps}"))
+}
+
+#[test]
+fn one_that_dies_is_out_within_three_seconds_and_comes_back() {
+    for member in ["n1", "n2", "n5", "n9"] {
+        let came = nine(&format!("5000 6000 kill {member}\n"));
+        well(&came, 3000.0);
+        assert!(
+            came.put_out_ms.count() == 1 && came.put_out_ms.most() < 3000.0,
+            "{member}: {}",
+            came.put_out_ms.most()
+        );
+        assert!(came.healthy_put_out.is_empty(), "{:?}", came.healthy_put_out);
+    }
+}
+
+#[test]
+fn a_cut_that_leaves_both_halves_alive_has_one_council() {
+    let came = nine("5000 5000 cut n1,n4,n7 n2,n3,n5,n6,n8,n9\n");
+    well(&came, 3000.0);
+    assert!(came.views >= 3);
+}
+
+#[test]
+fn two_that_are_cut_from_each_other_stay_as_a_third_sees_both() {
+    let came = nine("5000 6000 cut n4 n5\n");
+    well(&came, 3000.0);
+    assert!(came.healthy_put_out.is_empty() && came.views <= 2, "{} views", came.views);
+}
+
+#[test]
+fn messages_that_pass_one_way_only() {
+    well(&nine("5000 4000 cut-one-way n1 n2,n3,n4,n5,n6,n7,n8,n9\n"), 3000.0);
+    well(&nine("5000 4000 cut-one-way n2,n3,n4,n5,n6,n7,n8,n9 n1\n"), 3000.0);
+}
+
+#[test]
+fn a_leader_that_reaches_all_but_one_voter_and_one_that_reaches_one() {
+    well(&nine("5000 4000 cut n1 n3\n"), 3000.0);
+    well(&nine("5000 4000 cut n1 n3,n4,n5,n6,n7,n8,n9\n5000 4000 cut n2 n1\n"), 3000.0);
+}
+
+#[test]
+fn one_that_answers_but_does_no_work_is_out_and_comes_back() {
+    let came = nine("5000 5000 unfit n6\n");
+    well(&came, 3000.0);
+    assert!(came.views >= 4, "out and in again: {} views", came.views);
+}
+
+#[test]
+fn one_that_stood_still_in_the_middle_of_its_lease_does_not_act_on_it() {
+    for member in ["n1", "n2", "n6"] {
+        well(&nine(&format!("5000 5000 stop {member}\n")), 3000.0);
+    }
+}
+
+#[test]
+fn one_that_flaps_each_second_for_a_minute() {
+    let steps: String = (0..30).map(|n| format!("{} 900 kill n8\n", 5000 + n * 2000)).collect();
+    let came = nine(&steps);
+    well(&came, 3000.0);
+    assert!(came.views < 70, "{} views", came.views);
+}
+
+#[test]
+fn a_third_of_all_killed_at_once_with_all_voters_among_them() {
+    well(&nine("5000 3000 kill-third n1\n"), 5000.0);
+    well(&nine("5000 3000 kill-third n4\n"), 3000.0);
+}
+
+#[test]
+fn a_voter_that_is_back_without_its_folder_is_someone_new_also_while_another_is_down() {
+    let came = nine("5000 2000 kill-wiped n2\n");
+    well(&came, 3000.0);
+    assert!(came.audit.count("blank-is-someone-new") == 0);
+    well(&nine("5000 8000 kill n3\n6000 2000 kill-wiped n2\n"), 5000.0);
+}
+
+#[test]
+fn a_folder_that_was_set_back_is_not_trusted() {
+    for member in ["n1", "n2", "n3"] {
+        well(&nine(&format!("15000 2000 kill-set-back {member}\n")), 3000.0);
+    }
+}
+
+#[test]
+fn a_third_of_messages_lost_and_as_many_doubled() {
+    let came = nine("5000 10000 loss 0.3\n");
+    well(&came, 4000.0);
+}
+
+#[test]
+fn a_folder_that_is_full_and_clocks_that_jump_by_an_hour() {
+    well(&nine("5000 4000 full n1\n"), 3000.0);
+    well(&nine("5000 4000 full n2\n7000 3000 kill n3\n"), 4000.0);
+    well(&nine("5000 9000 clock n2 3600000\n6000 1000 kill-wiped n2\n8000 9000 clock n4 -3600000\n9000 1000 kill-wiped n4\n"), 4000.0);
+}
+
+#[test]
+fn every_member_restarted_in_turn() {
+    let steps: String = (0..9).map(|n| format!("{} 800 kill n{}\n", 5000 + n * 3000, n + 1)).collect();
+    well(&nine(&steps), 3000.0);
+}
+
+#[test]
+fn without_folders_each_restart_is_someone_new_and_the_council_follows() {
+    let steps: String = (0..9).map(|n| format!("{} 800 kill n{}\n", 6000 + n * 6000, n + 1)).collect();
+    let mut plan = plan(&format!("{NINE}{steps}"));
+    plan.folders = false;
+    well(&World::run(plan), 3000.0);
+}
+
+#[test]
+fn all_at_once() {
+    for seed in 500..530 {
+        let schedule = Schedule::draw(seed, 9, 3, 14, 30_000.0);
+        let came = World::run(Plan::of(schedule, seed));
+        assert!(came.audit.broken.is_empty(), "seed {seed}: {:?}", came.audit.broken);
+    }
+}
+
+#[test]
+fn one_voter_alone_five_and_seven_decide_too() {
+    for (voters, schedule) in [
+        (1, "3 zones 1\n5000 3000 kill n2\n"),
+        (5, "9 zones 3\n6000 3000 kill n1\n7000 3000 kill n3\n"),
+        (7, "9 zones 3\n6000 5000 kill-third n1\n"),
+    ] {
+        let mut plan = plan(&format!("members {schedule}"));
+        (plan.founders, plan.terms.voters) = (voters, voters);
+        plan.span_ms = plan.span_ms.max(9000.0);
+        well(&World::run(plan), 4000.0);
+    }
+}
+
+/// A majority of the council never comes back. One command gives a new one; an older one does nothing any more.
+#[test]
+fn a_council_that_lost_its_majority_is_put_right_by_one_command() {
+    let mut plan = plan("members 9 zones 3\n5000 40000 kill n1\n5000 40000 kill n2\n");
+    plan.span_ms = 30_000.0;
+    plan.recoveries = vec![(10_000.0, 4, vec!["n1".into()]), (16_000.0, 4, vec!["n1".into(), "n2".into()])];
+    let came = World::run(plan.clone());
+    assert!(came.audit.broken.is_empty(), "{:?}", came.audit.broken);
+    // The first left n2 out, which does not answer either; nothing came of it.
+    assert!(matches!(&came.recovered[..], [Err(why), Ok(3)] if why.contains("n2")), "{:?}", came.recovered);
+    assert!(came.end.iter().all(|line| !line.starts_with("n4") || line.contains("view")), "{:#?}", came.end);
+    // The lost ones come back with their folders: they follow the new council.
+    plan.schedule =
+        "members 9 zones 3\n5000 15000 kill n1\n5000 15000 kill n2\n".parse().expect("a schedule");
+    let came = World::run(plan);
+    assert!(came.audit.broken.is_empty(), "{:?}", came.audit.broken);
+    assert_eq!((came.lagging, came.left_out), (0, 0), "{:#?}", came.end);
+}
+
+#[test]
+fn two_recoveries_at_once_never_have_two_outcomes() {
+    let mut plan = plan("members 9 zones 3\n5000 40000 kill n1\n5000 40000 kill n2\n5000 40000 kill n4\n");
+    plan.span_ms = 30_000.0;
+    let (some, all) = (vec!["n1".into(), "n2".into()], vec!["n1".into(), "n2".into(), "n4".into()]);
+    plan.recoveries = vec![(10_000.0, 4, all.clone()), (10_000.0, 8, some.clone()), (20_000.0, 8, all)];
+    let came = World::run(plan);
+    assert!(came.audit.broken.is_empty(), "{:?}", came.audit.broken);
+    let numbers: Vec<&u64> = came.recovered.iter().flatten().collect();
+    assert!(numbers.len() <= 2, "{:?}", came.recovered);
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/group.rs
@@ -0,0 +1,310 @@
+//! This backend's place in a group: a thread of its own with a listener, a link a peer and a folder, around the state
+//! machine that decides. Nothing of it is on the owner's time, and where it ends the backend serves on as without a group.
+//!
+//! The ordinary path: a frame or a due time reaches the keeper, which asks the state machine, keeps what is to be kept, and
+//! only then hands out what is to be said.
+
+mod folder;
+mod links;
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use plovershelf_group::council::Id;
+use plovershelf_group::frames::Wire;
+use plovershelf_group::group::{Event, Group, Out, Start};
+use plovershelf_group::members::About;
+use plovershelf_group::status::{Answer, Question, Status};
+use plovershelf_operator::group::Group as Setup;
+
+use folder::Folder;
+use links::Links;
+
+/// What the owner tells of itself without being asked: when it last went round, and whether it does its work.
+#[derive(Default)]
+pub struct Pulse {
+    at_ms: AtomicU64,
+    fit: AtomicU64,
+}
+
+impl Pulse {
+    pub fn beat(&self, fit: bool) {
+        self.at_ms.store(now_ms() as u64, Ordering::Relaxed);
+        self.fit.store(u64::from(fit), Ordering::Relaxed);
+    }
+
+    /// It goes round at least once a second; so one that has not for longer is stuck.
+    fn fit(&self) -> bool {
+        self.fit.load(Ordering::Relaxed) != 0
+            && now_ms() - self.at_ms.load(Ordering::Relaxed) as f64 <= STUCK_MS
+    }
+}
+
+/// The owner goes round at least once a second.
+const STUCK_MS: f64 = 2000.0;
+const PULSE_EVERY_MS: f64 = 200.0;
+/// What waits for the keeper; more is dropped, as a network drops.
+const INBOX: usize = 1024;
+/// A folder that took nothing is tried again after this.
+const FOLDER_AGAIN_MS: f64 = 500.0;
+const NOTES_A_SECOND: u32 = 10;
+
+/// A clock that never goes back and goes on while the machine sleeps: so a lease is over when it wakes.
+pub fn now_ms() -> f64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as f64 * 1000.0 + time.tv_nsec as f64 / 1e6
+}
+
+/// The wall clock; a test may tell the program that it is off.
+fn wall_ms() -> u64 {
+    let off = std::env::var("PLOVERSHELF_TEST_CLOCK_OFF_MS")
+        .ok()
+        .and_then(|off| off.parse::<f64>().ok())
+        .unwrap_or(0.0);
+    let since = std::time::SystemTime::UNIX_EPOCH.elapsed().map_or(0.0, |since| since.as_secs_f64() * 1000.0);
+    (since + off).max(0.0) as u64
+}
+
+/// All that can happen to the keeper from outside.
+pub enum Incoming {
+    Wire { wire: Box<Wire>, from_here: bool, answer: Sender<Answer> },
+    Odd(String),
+    Leave,
+}
+
+/// Starts the group's thread. What the sender takes reaches it.
+///
+/// Errors: the listener or the folder can't be had, in one line.
+pub fn start(setup: Setup, name: String, pulse: Arc<Pulse>) -> Result<Sender<Incoming>, String> {
+    let listener = TcpListener::bind(setup.listen)
+        .map_err(|error| format!("the group's listener on {}: {error}", setup.listen))?;
+    let (folder, identity, kept) = Folder::open(&setup, &name, wall_ms())?;
+    let about = About {
+        id: identity.id,
+        name: name.clone(),
+        zone: setup.zone.clone(),
+        region: setup.region.clone(),
+        address: setup.listen,
+        born: identity.born,
+    };
+    let start = Start {
+        about,
+        terms: setup.terms.clone(),
+        seeds: setup.seeds.iter().copied().filter(|seed| *seed != setup.listen).collect(),
+        founders: setup.council.clone(),
+        kept,
+        seed: folder::drawn(),
+    };
+    let (inbox, incoming) = async_channel::bounded(INBOX);
+    let own = inbox.clone();
+    let run = move || {
+        let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+        let listening = match Async::new(listener) {
+            Ok(listener) => links::accept(executor, listener, Rc::from(setup.name.as_str()), own),
+            Err(error) => return tracing::error!("the group ends: {error}"),
+        };
+        executor.spawn(listening).detach();
+        let links = Links::new(executor, &setup.name, setup.ways.clone());
+        let keeper = Keeper {
+            group: Group::new(start, now_ms()),
+            name: setup.name.clone(),
+            folder,
+            folder_again_at: None,
+            links,
+            pulse,
+            pulse_at: 0.0,
+            recovering: Vec::new(),
+            notes: (0, 0),
+        };
+        async_io::block_on(executor.run(keeper.run(incoming)));
+    };
+    std::thread::Builder::new()
+        .name("group".into())
+        .spawn(run)
+        .map_err(|error| format!("the group's thread: {error}"))?;
+    Ok(inbox)
+}
+
+struct Keeper {
+    group: Group,
+    name: String,
+    folder: Option<Folder>,
+    folder_again_at: Option<f64>,
+    links: Links,
+    pulse: Arc<Pulse>,
+    pulse_at: f64,
+    /// Who waits to hear what came of a recovery.
+    recovering: Vec<Sender<Answer>>,
+    notes: (u64, u32),
+}
+
+impl Keeper {
+    async fn run(mut self, incoming: Receiver<Incoming>) {
+        tracing::info!(event = "group_began", memory = %shown(self.group.about().id), listen = %self.group.about().address, "member of a group");
+        loop {
+            let wait_ms = (self.next_at() - now_ms()).clamp(0.0, 1000.0);
+            let event = future::or(async { incoming.recv().await.ok() }, async {
+                Timer::after(Duration::from_secs_f64(wait_ms / 1000.0)).await;
+                None
+            })
+            .await;
+            // The time first: one that stood still finds out before it hears or does anything else.
+            self.tick();
+            for event in event.into_iter().chain(std::iter::from_fn(|| incoming.try_recv().ok()).take(64)) {
+                if let Incoming::Leave = event {
+                    self.group.leave(now_ms());
+                    self.carry_out();
+                    continue;
+                }
+                self.take(event);
+            }
+        }
+    }
+
+    fn next_at(&self) -> f64 {
+        self.group.next_at().min(self.pulse_at).min(self.folder_again_at.unwrap_or(f64::INFINITY))
+    }
+
+    fn tick(&mut self) {
+        let now = now_ms();
+        if self.pulse_at <= now {
+            self.pulse_at = now + PULSE_EVERY_MS;
+            self.group.fit(now, self.pulse.fit());
+        }
+        if self.folder_again_at.is_some_and(|at| at <= now) {
+            self.try_folder(now);
+        }
+        if self.group.next_at() <= now {
+            self.group.tick(now);
+        }
+        self.carry_out();
+    }
+
+    fn take(&mut self, event: Incoming) {
+        let now = now_ms();
+        match event {
+            Incoming::Wire { wire, from_here, answer } => match *wire {
+                Wire::Say(envelope) => self.group.hear(now, envelope),
+                Wire::Ask(question) => self.asked(question, from_here, answer),
+                Wire::Answer(_) => {}
+            },
+            Incoming::Odd(what) => self.note(&what),
+            Incoming::Leave => {}
+        }
+        self.carry_out();
+    }
+
+    /// Commands that change something are taken from this machine alone.
+    fn asked(&mut self, question: Question, from_here: bool, answer: Sender<Answer>) {
+        let now = now_ms();
+        let told = match question {
+            Question::Status => Answer::Status(Box::new(Status::of(&self.group, &self.name, now))),
+            _ if !from_here => {
+                Answer::Refused("such a command is taken on the member's own machine alone".into())
+            }
+            Question::Replace { voter } => match self.group.replace(now, &voter) {
+                Ok(()) => Answer::Done(format!("{voter} is being replaced as a voter")),
+                Err(why) => Answer::Refused(why),
+            },
+            Question::Recover { lost } => match self.group.recover(now, &lost) {
+                Ok(()) => {
+                    tracing::warn!(event = "recovery_began", lost = %lost.join(","), "a new council is asked for");
+                    self.recovering.push(answer);
+                    return;
+                }
+                Err(why) => Answer::Refused(why),
+            },
+        };
+        let _ = answer.try_send(told);
+    }
+
+    /// Keeps first, then says.
+    fn carry_out(&mut self) {
+        let Out { save, mut send, events } = self.group.take();
+        if !save.is_empty() {
+            if let Some(folder) = self.folder.as_mut() {
+                let kept = folder.append(&save, self.group.council().kept());
+                if let Err(error) = kept {
+                    if self.folder_again_at.is_none() {
+                        tracing::error!(event = "folder_full", "the group's folder takes nothing: {error}; this member votes and confirms nothing until it does");
+                    }
+                    let now = now_ms();
+                    self.group.keeps(now, false);
+                    send.retain(|(_, envelope)| !envelope.say.rests_on_folder());
+                    self.folder_again_at = Some(now + FOLDER_AGAIN_MS);
+                }
+            }
+        }
+        for (whereto, envelope) in send {
+            let name = whereto.id.and_then(|id| self.group.name_of(id));
+            self.links.send(whereto.address, name.as_deref(), &Wire::Say(envelope));
+        }
+        events.into_iter().for_each(|event| self.tell(event));
+    }
+
+    fn try_folder(&mut self, now: f64) {
+        let Some(folder) = self.folder.as_mut() else { return };
+        match folder.rewrite(self.group.council().kept()) {
+            Ok(()) => {
+                self.folder_again_at = None;
+                tracing::info!(event = "folder_well", "the group's folder takes again what is kept");
+                self.group.keeps(now, true);
+            }
+            Err(_) => self.folder_again_at = Some(now + FOLDER_AGAIN_MS),
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        match event {
+            Event::View(view) => {
+                tracing::info!(
+                    event = "view",
+                    number = view.number,
+                    members = view.members.len(),
+                    "view {}",
+                    view.number
+                )
+            }
+            Event::Lease(Some(_)) => tracing::debug!(event = "lease", "may act"),
+            Event::Lease(None) => tracing::info!(event = "no_lease", "may not act by the council's word"),
+            Event::Leader(leader) => {
+                let name = leader.and_then(|id| self.group.name_of(id)).unwrap_or_default();
+                tracing::info!(event = "leader", name, "leader {name:?}")
+            }
+            Event::Word { key, number } => tracing::debug!(event = "word", key, number, "agreed"),
+            Event::Proposed { .. } => {}
+            Event::Recovered(outcome) => {
+                let answer = match &outcome {
+                    Ok(number) => Answer::Done(format!("council {number} has begun")),
+                    Err(why) => Answer::Refused(why.clone()),
+                };
+                tracing::warn!(event = "recovery_ended", "{answer:?}");
+                self.recovering.drain(..).for_each(|waits| drop(waits.try_send(answer.clone())));
+            }
+            Event::Note(what) => self.note(&what),
+        }
+    }
+
+    /// Bounded, as others' doing is behind it.
+    fn note(&mut self, what: &str) {
+        let second = (now_ms() / 1000.0) as u64;
+        if self.notes.0 != second {
+            self.notes = (second, 0);
+        }
+        self.notes.1 += 1;
+        if self.notes.1 <= NOTES_A_SECOND {
+            tracing::warn!(event = "group_note", "{what}");
+        }
+    }
+}
+
+fn shown(id: Id) -> String {
+    format!("{:016x}", id.0)
+}
--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -21,6 +21,8 @@
     pub start: Start,
     /// Pools of offerings, where the operator has set any.
     pub pools: Option<Plan>,
+    /// The group that it belongs to, where the operator has set one.
+    pub group: Option<plovershelf_operator::group::Group>,
     /// The document itself, to tell later what has changed.
     pub told: Value,
 }
@@ -39,6 +41,7 @@
 pub fn from_environment() -> Result<Launch, String> {
     let mut launch = read_file().and_then(|top| read(&top)).map_err(|e| format!("RELAY_CONFIG {e}"))?;
     launch.pools = pools(&launch.start.offerings)?;
+    launch.group = group()?;
     Ok(launch)
 }
 
@@ -59,6 +62,16 @@
     plovershelf_operator::pools::read(&shown, &text, offerings).map(Some).map_err(|wrong| wrong.to_string())
 }
 
+/// The file of the group that `PLOVERSHELF_GROUP` names, where it names one; no group without.
+///
+/// Errors: all that is wrong with the file.
+fn group() -> Result<Option<plovershelf_operator::group::Group>, String> {
+    let Some(path) = std::env::var_os("PLOVERSHELF_GROUP") else { return Ok(None) };
+    let shown = path.to_string_lossy();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("PLOVERSHELF_GROUP {shown}: {e}"))?;
+    plovershelf_operator::group::read(&shown, &text).map(Some).map_err(|wrong| wrong.to_string())
+}
+
 fn word<'a>(top: &'a Value, key: &str) -> Result<&'a str, String> {
     top[key].as_str().ok_or_else(|| format!("{key:?} is missing or no text"))
 }
@@ -113,6 +126,7 @@
         limits: Limits::of(measure(limits, "memory_mb")?, measure(limits, "sockets")? as usize),
         start: plovershelf_facts::read_value(&top["settings"], seed)?,
         pools: None,
+        group: None,
         told: top.clone(),
     })
 }
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -1,6 +1,7 @@
 //! One backend on real sockets: starts the parts, hands them their queues, and waits for the end.
 
 mod agent;
+mod group;
 mod launch;
 mod ledger;
 mod limits;
@@ -37,7 +38,12 @@
     let (slots, leaving) = (Rc::new(()), Rc::new(Cell::new(false)));
 
     let (move_agent, agent_moved) = async_channel::bounded(1);
-    let Launch { peers, told, pools, .. } = launch;
+    let Launch { peers, told, pools, group, .. } = launch;
+    let pulse = group.is_some().then(std::sync::Arc::<group::Pulse>::default);
+    let in_group = match (group, &pulse) {
+        (Some(setup), Some(pulse)) => Some(group::start(setup, launch.name.clone(), pulse.clone())?),
+        _ => None,
+    };
     let offerings = launch.start.offerings.clone();
     let agent = agent::keep_link(peers.agent.clone(), agent_moved, events.clone(), limits.clone());
     executor.spawn(agent).detach();
@@ -59,6 +65,9 @@
                     Err(wrong) => tracing::warn!("the pools stay as they are: {wrong}"),
                 }
             } else {
+                if let Some(in_group) = &in_group {
+                    let _ = in_group.try_send(group::Incoming::Leave);
+                }
                 let _ = events.send(Event::Leave).await;
             }
         }
@@ -68,7 +77,7 @@
     tracing::info!("{} listens on {}", launch.name, launch.listen);
     let (start, stop_ms) = (launch.start, launch.stop_ms);
     let owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
-    let mut owner = owner.with_pools(pools)?;
+    let mut owner = owner.with_pools(pools)?.with_pulse(pulse);
     let run = async {
         owner.run().await;
         // What was answered last is still on its way out of the connections' own tasks.
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -123,6 +123,8 @@
     /// Pools of offerings, where an operator has set any, and when the log heard of them.
     pooled: Option<pooled::Pooled>,
     pools_told_at: f64,
+    /// Where a group wants to know that this goes round and does its work.
+    pulse: Option<std::sync::Arc<crate::group::Pulse>>,
 }
 
 fn unix_ms() -> f64 {
@@ -173,6 +175,7 @@
             complaints: (0, 0),
             pooled: None,
             pools_told_at: 0.0,
+            pulse: None,
             limits,
         }
     }
@@ -185,6 +188,11 @@
         Ok(self)
     }
 
+    pub fn with_pulse(mut self, pulse: Option<std::sync::Arc<crate::group::Pulse>>) -> Self {
+        self.pulse = pulse;
+        self
+    }
+
     /// Takes events and due times in turn until the notice to leave has been carried out.
     pub async fn run(&mut self) {
         while !self.over {
@@ -198,6 +206,9 @@
                 event.into_iter().for_each(|event| self.take(event));
             }
             self.settle();
+            if let Some(pulse) = &self.pulse {
+                pulse.beat(self.backend.is_some() && self.agent.is_some());
+            }
         }
     }
 
