The rig: faults between real processes, judged from outside; trials group, group-model

Need: what is claimed of many processes has to be shown on them, with faults between them, and judged from outside. Addresses for listeners are no longer tried out: a process started in that moment held them on.

--- /dev/null
+++ b/crates/plovershelf-cli/src/audit.rs
@@ -0,0 +1,56 @@
+//! `plovershelf audit`: judges a history that a trial left, by the promises of the group.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use plovershelf_model::audit;
+
+#[derive(Args)]
+pub struct Options {
+    /// A history, one JSON object a line.
+    history: PathBuf,
+    /// One JSON object instead of lines.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Exit statuses: 0 all promises kept, 1 one broken.
+pub fn run(options: &Options) -> Result<u8, String> {
+    let shown = options.history.display();
+    let text = std::fs::read_to_string(&options.history).map_err(|error| format!("{shown}: {error}"))?;
+    let events = audit::read(&text).map_err(|error| format!("{shown}: {error}"))?;
+    let judged = audit::judge(&events);
+    if options.json {
+        let broken: Vec<serde_json::Value> = judged
+            .broken
+            .iter()
+            .map(|b| serde_json::json!({"promise": b.promise, "at": b.at, "event": b.event, "told": b.told, "led_by": b.led_by}))
+            .collect();
+        println!(
+            "{}",
+            serde_json::json!({"events": events.len(), "views": judged.views(), "broken": broken})
+        );
+    } else {
+        println!(
+            "{} events, {} views, {} promises broken",
+            events.len(),
+            judged.views(),
+            judged.broken.len()
+        );
+        for broken in &judged.broken {
+            println!(
+                "\n{} at {:.0} ms, event {}: {}",
+                broken.promise,
+                broken.at,
+                broken.event + 1,
+                broken.told
+            );
+            for place in &broken.led_by {
+                if let Some(event) = events.get(*place) {
+                    println!("  event {}: {}", place + 1, serde_json::to_string(event).unwrap_or_default());
+                }
+            }
+        }
+    }
+    Ok(u8::from(!judged.broken.is_empty()))
+}
--- a/crates/plovershelf-cli/src/demo.rs
+++ b/crates/plovershelf-cli/src/demo.rs
@@ -42,6 +42,7 @@
         stop_ms: 2500.0,
         logs: None,
         pools: None,
+        group: None,
     };
     let span_ms = f64::from(options.seconds) * 1000.0;
     let capacity = CORES * 1000.0 / load::mean_work_ms();
--- /dev/null
+++ b/crates/plovershelf-cli/src/group.rs
@@ -0,0 +1,201 @@
+//! `plovershelf group`: who is in a group, what its council decided, and the two commands that change it by hand.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use clap::{Args, Subcommand};
+use comfy_table::{presets, Table};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use plovershelf_group::frames::{decode, encode, unframed, Hello, Wire};
+use plovershelf_group::status::{Answer, Question, Status};
+
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    command: Command,
+    /// A member's address, as `listen` in its group.ini.
+    #[arg(long, global = true, value_name = "ADDRESS:PORT", conflicts_with = "file")]
+    at: Option<SocketAddr>,
+    /// The group's name, with --at.
+    #[arg(long, global = true, value_name = "NAME", default_value = "fleet")]
+    name: String,
+    /// A member's group.ini: its address and the group's name are taken from there.
+    #[arg(long, global = true, value_name = "FILE")]
+    file: Option<PathBuf>,
+    /// One JSON object instead of tables.
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Council, leader, view, and whether this member may act.
+    Status,
+    /// All members, with zone, condition, vote and lag.
+    Members,
+    /// The last views: who joined and who left.
+    History,
+    /// Replaces a voter at once instead of after `replace_ms`; asked of the leader, on its machine.
+    Replace { voter: String },
+    /// Begins a new council without those named, when a majority of voters is gone for good. What only they kept is lost.
+    /// Asked of any member that is left, on its machine; all others that are left must answer.
+    Recover {
+        /// Names of all members that are gone, with commas between.
+        #[arg(long, value_delimiter = ',', required = true)]
+        lose: Vec<String>,
+    },
+}
+
+/// Asks one member.
+///
+/// Errors: it can't be reached, or talks of something else, in one line.
+pub async fn ask(
+    at: SocketAddr,
+    group: &str,
+    question: Question,
+    within: Duration,
+) -> Result<Answer, String> {
+    let wrong = |what: &str| format!("{at}: {what}");
+    let asked = async {
+        let stream =
+            Async::<std::net::TcpStream>::connect(at).await.map_err(|error| wrong(&error.to_string()))?;
+        let bytes = [encode(&Hello::of(group)), encode(&Wire::Ask(question))].concat();
+        (&stream).write_all(&bytes).await.map_err(|error| wrong(&error.to_string()))?;
+        let (mut bytes, mut chunk) = (Vec::new(), vec![0; 16 << 10]);
+        loop {
+            if let Some((content, _)) = unframed(&bytes).map_err(|spoilt| wrong(&spoilt.to_string()))? {
+                return match decode::<Wire>(content) {
+                    Ok(Wire::Answer(answer)) => Ok(*answer),
+                    _ => Err(wrong("answered something else")),
+                };
+            }
+            match (&stream).read(&mut chunk).await {
+                Ok(0) => return Err(wrong("closed the link: another group's name, or another version")),
+                Ok(count) => bytes.extend_from_slice(&chunk[..count]),
+                Err(error) => return Err(wrong(&error.to_string())),
+            }
+        }
+    };
+    let late = async {
+        Timer::after(within).await;
+        Err(wrong("no answer came in time"))
+    };
+    future::or(asked, late).await
+}
+
+/// Exit statuses: 0 done, 1 refused; an error is a member that could not be asked.
+pub fn run(options: &Options) -> Result<u8, String> {
+    let (at, name) = match (&options.file, options.at) {
+        (Some(file), _) => {
+            let text =
+                std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+            let group = plovershelf_operator::group::read(&file.to_string_lossy(), &text)
+                .map_err(|w| w.to_string())?;
+            (group.listen, group.name)
+        }
+        (None, Some(at)) => (at, options.name.clone()),
+        (None, None) => return Err("--file group.ini or --at ADDRESS:PORT says which member to ask".into()),
+    };
+    let question = match &options.command {
+        Command::Status | Command::Members | Command::History => Question::Status,
+        Command::Replace { voter } => Question::Replace { voter: voter.clone() },
+        Command::Recover { lose } => Question::Recover { lost: lose.clone() },
+    };
+    match async_io::block_on(ask(at, &name, question, Duration::from_secs(10)))? {
+        Answer::Status(status) => {
+            if options.json {
+                println!("{}", serde_json::to_string(&*status).map_err(|error| error.to_string())?);
+            } else {
+                match options.command {
+                    Command::Members => println!("{}", members(&status)),
+                    Command::History => println!("{}", history(&status)),
+                    _ => println!("{}", told(&status)),
+                }
+            }
+            Ok(0)
+        }
+        Answer::Done(what) => {
+            println!("{what}");
+            Ok(0)
+        }
+        Answer::Refused(why) => {
+            eprintln!("plovershelf: refused: {why}");
+            Ok(1)
+        }
+    }
+}
+
+fn told(status: &Status) -> String {
+    let mut lines = vec![
+        format!("group {}, member {} ({:016x})", status.group, status.name, status.memory),
+        match &status.leader {
+            Some(leader) => format!(
+                "council {}, term {}, led by {leader}; this member: {}",
+                status.council, status.term, status.role
+            ),
+            None => format!(
+                "council {}, term {}, no leader known; this member: {}",
+                status.council, status.term, status.role
+            ),
+        },
+        format!(
+            "view {} of {} members, {} decisions",
+            status.view,
+            status.view_members.len(),
+            status.decided
+        ),
+    ];
+    lines.push(match status.may_act {
+        Some(view) => format!("may act by view {view}"),
+        None => "may not act by the council's word now".into(),
+    });
+    if let Some(ms) = status.undecided_ms {
+        lines.push(format!(
+            "NO LEADER'S WORD for {:.0} s: nothing new is agreed. If a majority of voters is gone for good, see \
+             `plovershelf group recover --help`",
+            ms / 1000.0
+        ));
+    }
+    if !status.keeps {
+        lines.push("the folder takes nothing: this member neither votes nor confirms".into());
+    }
+    lines.extend(status.words.iter().map(|(key, number)| format!("agreed: {key}, number {number}")));
+    lines.join("\n")
+}
+
+fn members(status: &Status) -> Table {
+    let mut table = Table::new();
+    let head =
+        ["member", "zone", "region", "memory", "condition", "for s", "works", "in view", "voter", "lag"];
+    table.load_preset(presets::NOTHING).set_header(head);
+    for member in &status.members {
+        let yes = |yes: bool| if yes { "yes" } else { "no" }.to_string();
+        table.add_row([
+            member.name.clone(),
+            member.zone.clone(),
+            member.region.clone(),
+            format!("{:016x}", member.memory),
+            member.condition.clone(),
+            format!("{:.0}", member.since_ms / 1000.0),
+            yes(member.fit),
+            yes(member.in_view),
+            yes(member.voter),
+            member.lag.map_or(String::new(), |lag| lag.to_string()),
+        ]);
+    }
+    table
+}
+
+fn history(status: &Status) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(["view", "joined", "left"]);
+    let names = |of: &[(plovershelf_group::council::Id, String)]| {
+        of.iter().map(|(id, name)| format!("{name} ({:08x})", id.0 >> 32)).collect::<Vec<_>>().join(", ")
+    };
+    for step in &status.history {
+        table.add_row([step.number.to_string(), names(&step.joined), names(&step.left)]);
+    }
+    table
+}
--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -1,7 +1,9 @@
 //! The `plovershelf` command. One file a sub-command; none asks a question.
 
+mod audit;
 mod call;
 mod demo;
+mod group;
 mod load;
 mod trial;
 
@@ -33,6 +35,10 @@
     Demo(demo::Options),
     /// One invocation to running backends.
     Call(call::Options),
+    /// A group of backends: who is in it, what it decided, and the commands that change it by hand.
+    Group(group::Options),
+    /// Judges a history that a trial left.
+    Audit(audit::Options),
     /// Measures a claim on real processes; `plovershelf trial --list` names all.
     Trial(trial::Options),
 }
@@ -74,6 +80,8 @@
     let done = match arguments.command {
         Command::Demo(options) => demo::run(&options),
         Command::Call(options) => call::run(&options),
+        Command::Group(options) => group::run(&options),
+        Command::Audit(options) => audit::run(&options),
         Command::Trial(options) => trial::run(&options),
     };
     match done {
--- a/crates/plovershelf-cli/src/trial/client_overload.rs
+++ b/crates/plovershelf-cli/src/trial/client_overload.rs
@@ -36,6 +36,7 @@
         stop_ms: 2500.0,
         logs: ground.logs.clone(),
         pools: None,
+        group: None,
     }
 }
 
--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -3,6 +3,8 @@
 
 mod client_overload;
 mod client_restart;
+mod group;
+mod group_model;
 mod pools;
 
 pub use client_overload::taps;
@@ -35,6 +37,15 @@
     /// A folder for the backends' logs.
     #[arg(long, value_name = "FOLDER")]
     pub logs: Option<PathBuf>,
+    /// Members of simulated groups.
+    #[arg(long)]
+    members: Option<usize>,
+    /// Seeds that are played, of simulated ones.
+    #[arg(long)]
+    seeds: Option<u64>,
+    /// A schedule of faults to play instead of the seed's.
+    #[arg(long, value_name = "FILE")]
+    schedule: Option<PathBuf>,
 }
 
 /// What a figure has to be.
@@ -150,11 +161,14 @@
     pub seed: u64,
     pub seconds: Option<f64>,
     pub logs: Option<PathBuf>,
+    pub members: Option<usize>,
+    pub seeds: Option<u64>,
+    pub schedule: Option<PathBuf>,
 }
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 3] = [
+const TRIALS: [(&str, &str, Run); 5] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -170,6 +184,16 @@
         "a flood of the cheap, a costly burst, a slowdown; a ledger at 200 %; with pools and without",
         pools::run,
     ),
+    (
+        "group",
+        "nine backends in three zones as one group, at least twelve faults of six kinds; and without",
+        group::run,
+    ),
+    (
+        "group-model",
+        "simulated groups: --members 9|90|900 --seeds N; promises, times and bytes as they grow",
+        group_model::run,
+    ),
 ];
 
 /// Exit statuses: 0 every claim held, 1 one fell short; an error is a trial that could not run.
@@ -191,6 +215,9 @@
         seed: options.seed,
         seconds: options.seconds.map(f64::from),
         logs: options.logs.clone(),
+        members: options.members,
+        seeds: options.seeds,
+        schedule: options.schedule.clone(),
     };
     let figures = run(&ground)?;
     if options.json {
--- a/crates/plovershelf-cli/src/trial/pools.rs
+++ b/crates/plovershelf-cli/src/trial/pools.rs
@@ -94,6 +94,7 @@
         stop_ms: 2500.0,
         logs: ground.logs.clone(),
         pools: pools.then(|| file.clone()),
+        group: None,
     };
     let planned = Rc::new(planned(ground, phase_ms, cheap));
     let mut fleet =
--- a/crates/plovershelf-group/src/council.rs
+++ b/crates/plovershelf-group/src/council.rs
@@ -245,7 +245,7 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { beat_ms: 100.0, election_ms: [500.0, 1000.0], recall_ms: 200.0, drift: 0.02, ask_first: true }
+        Terms { beat_ms: 100.0, election_ms: [400.0, 800.0], recall_ms: 200.0, drift: 0.02, ask_first: true }
     }
 }
 
--- a/crates/plovershelf-group/src/group.rs
+++ b/crates/plovershelf-group/src/group.rs
@@ -52,7 +52,7 @@
         Terms {
             members: members::Terms::default(),
             council: council::Terms::default(),
-            lease_ms: 1000.0,
+            lease_ms: 800.0,
             renew_ms: 250.0,
             settle_ms: 200.0,
             unfit_ms: 1500.0,
--- a/crates/plovershelf-server/src/group/folder.rs
+++ b/crates/plovershelf-server/src/group/folder.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use plovershelf_group::council::{Id, Kept, Record};
 use plovershelf_group::decided::Decided;
@@ -109,6 +109,7 @@
             return self.rewrite(kept);
         }
         let bytes: Vec<u8> = records.iter().flat_map(store::record).collect();
+        self.takes()?;
         use std::os::unix::fs::FileExt;
         let written = self.file.write_all_at(&bytes, self.length).and_then(|()| self.file.sync_data());
         match written {
@@ -123,8 +124,19 @@
         }
     }
 
+    /// A test tells by a file that the disk is full.
+    fn takes(&self) -> io::Result<()> {
+        let full =
+            std::env::var_os("PLOVERSHELF_TEST_FOLDER_FULL").is_some_and(|path| Path::new(&path).exists());
+        if full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
     /// All of it anew, beside the old file and then in its place.
     pub fn rewrite(&mut self, kept: &Kept<Decided>) -> io::Result<()> {
+        self.takes()?;
         let bytes = store::written(&self.identity, kept);
         let beside = self.path.with_extension("new");
         let mut file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(&beside)?;
--- a/crates/plovershelf-server/tests/clients.rs
+++ b/crates/plovershelf-server/tests/clients.rs
@@ -37,6 +37,7 @@
         stop_ms: 1200.0,
         logs: None,
         pools: None,
+        group: None,
     }
 }
 
--- /dev/null
+++ b/crates/plovershelf-server/tests/group.rs
@@ -0,0 +1,198 @@
+//! Real processes as one group: founded, one lost with its folder, one stopped, a way cut; and without a group nothing more
+//! than before.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use plovershelf_group::frames::{decode, encode, unframed, Hello, Wire};
+use plovershelf_group::status::{Answer, Question, Status};
+use plovershelf_model::schedule::{Fault, Folder};
+use plovershelf_standins::backend::{Fleet, Plan};
+use plovershelf_standins::scripted::SETTINGS;
+use plovershelf_standins::{cores, ledger, rig, Clock, Executor};
+
+fn plan(group: bool) -> Plan {
+    Plan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_plovershelf-server")),
+        backends: 3,
+        cores: cores::Shape { cores: 2.0, crowd: 8.0, cold_speed: 1.0, warm_ms: 1.0 },
+        ledger: ledger::Shape { call_ms: 1.0, slots: 10, survives: 50, down_ms: 100.0 },
+        settings: serde_json::from_str(SETTINGS).expect("settings"),
+        memory_mb: 64.0,
+        sockets: 256,
+        stop_ms: 1000.0,
+        logs: None,
+        pools: None,
+        group: group.then(|| rig::Plan { zones: 3, founders: 3, folders: true, more: String::new() }),
+    }
+}
+
+fn ask(at: SocketAddr, question: Question) -> Option<Answer> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(9))).ok()?;
+    stream.write_all(&[encode(&Hello::of("trial")), encode(&Wire::Ask(question))].concat()).ok()?;
+    let (mut bytes, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        if let Ok(Some((content, _))) = unframed(&bytes) {
+            let Ok(Wire::Answer(answer)) = decode(content) else { return None };
+            return Some(*answer);
+        }
+        let count = stream.read(&mut chunk).ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&chunk[..count]);
+    }
+}
+
+fn status(at: SocketAddr) -> Option<Status> {
+    match ask(at, Question::Status)? {
+        Answer::Status(status) => Some(*status),
+        _ => None,
+    }
+}
+
+/// Waits until that holds of what all the named members answer; a minute is more than any machine needs.
+async fn until(
+    what: &str,
+    fleet: &Fleet,
+    members: &[usize],
+    holds: impl Fn(&[Status]) -> bool,
+) -> Vec<Status> {
+    let began = Instant::now();
+    let rig = fleet.rig.as_ref().expect("a group");
+    loop {
+        // The stand-ins need this thread, so others do the asking.
+        let addresses: Vec<SocketAddr> = members.iter().map(|m| rig.members[*m].address).collect();
+        let (told, asked) = async_channel::bounded(1);
+        std::thread::spawn(move || {
+            let all: Option<Vec<Status>> = addresses.into_iter().map(status).collect();
+            let _ = told.send_blocking(all);
+        });
+        if let Ok(Some(all)) = asked.recv().await {
+            if holds(&all) {
+                return all;
+            }
+            assert!(began.elapsed() < Duration::from_secs(60), "{what}: {all:#?}");
+        }
+        assert!(began.elapsed() < Duration::from_secs(60), "{what}");
+        Timer::after(Duration::from_millis(50)).await;
+    }
+}
+
+/// All answer with one view of so many members, and all may act by it.
+fn agreed(count: usize) -> impl Fn(&[Status]) -> bool {
+    move |all| {
+        let view = all[0].view;
+        all.iter().all(|s| s.may_act == Some(view) && s.view == view && s.view_members.len() == count)
+    }
+}
+
+#[test]
+fn a_group_is_founded_loses_a_member_with_its_folder_and_takes_it_back_as_someone_new() {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let mut fleet = Fleet::start(&executor, clock, &plan(true)).expect("three backends");
+    let run = async {
+        let first = until("founded", &fleet, &[0, 1, 2], agreed(3)).await;
+        let memory = first[1].memory;
+        assert_eq!(first.iter().filter(|s| s.leads).count(), 1);
+        fleet.fault(&Fault::Kill { member: 1, folder: Folder::Wiped }, true, 3);
+        let out = until("out", &fleet, &[0, 2], agreed(2)).await;
+        assert!(!out[0].view_members.contains(&memory));
+        fleet.fault(&Fault::Kill { member: 1, folder: Folder::Wiped }, false, 3);
+        let voters = |all: &[Status]| all[0].members.iter().filter(|m| m.voter && m.in_view).count() == 3;
+        let back = until("back", &fleet, &[0, 1, 2], |all| agreed(3)(all) && voters(all)).await;
+        assert_ne!(back[1].memory, memory);
+        assert!(back[0].view > out[0].view);
+        // A member that stood still may not act when it wakes, until it has asked again; all agree again.
+        fleet.fault(&Fault::Stop { member: 2 }, true, 3);
+        until("stopped one out", &fleet, &[0, 1], agreed(2)).await;
+        fleet.fault(&Fault::Stop { member: 2 }, false, 3);
+        until("stopped one back", &fleet, &[0, 1, 2], agreed(3)).await;
+        // One that does no work is put out, though it answers.
+        fleet.fault(&Fault::Unfit { member: 0 }, true, 3);
+        until("unfit one out", &fleet, &[1, 2], agreed(2)).await;
+        fleet.fault(&Fault::Unfit { member: 0 }, false, 3);
+        until("unfit one back", &fleet, &[0, 1, 2], agreed(3)).await;
+    };
+    async_io::block_on(executor.run(run));
+}
+
+#[test]
+fn a_majority_that_is_gone_is_put_right_by_one_command_and_by_no_other() {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let mut fleet = Fleet::start(&executor, clock, &plan(true)).expect("three backends");
+    let run = async {
+        until("founded", &fleet, &[0, 1, 2], agreed(3)).await;
+        let at = fleet.rig.as_ref().expect("a group").members[2].address;
+        let recover = move |lost: &[&str]| {
+            let lost = lost.iter().map(|name| name.to_string()).collect();
+            async move {
+                let (told, asked) = async_channel::bounded(1);
+                std::thread::spawn(move || told.send_blocking(ask(at, Question::Recover { lost })));
+                asked.recv().await.ok().flatten()
+            }
+        };
+        let early = recover(&["n1"]).await;
+        assert!(matches!(early, Some(Answer::Refused(why)) if why.contains("can decide by themselves")));
+        for member in [0, 1] {
+            fleet.fault(&Fault::Kill { member, folder: Folder::Wiped }, true, 3);
+        }
+        until("undecided", &fleet, &[2], |all| all[0].undecided_ms.is_some() && all[0].may_act.is_none())
+            .await;
+        let unknown = recover(&["n7"]).await;
+        assert!(matches!(unknown, Some(Answer::Refused(why)) if why.contains("\"n7\" is not in view")));
+        let done = recover(&["n1", "n2"]).await;
+        assert!(matches!(&done, Some(Answer::Done(what)) if what.contains("council 2")), "{done:?}");
+        until("alone", &fleet, &[2], agreed(1)).await;
+        for member in [0, 1] {
+            fleet.fault(&Fault::Kill { member, folder: Folder::Wiped }, false, 3);
+        }
+        let all = until("whole", &fleet, &[0, 1, 2], agreed(3)).await;
+        assert!(all.iter().all(|s| s.council == 2));
+    };
+    async_io::block_on(executor.run(run));
+}
+
+/// Threads, or descriptors but for files and pipes, which a process may be given by the one that starts it.
+fn counted(fleet: &Fleet, what: &str) -> usize {
+    let id = fleet.backends[0].id().expect("it runs");
+    let entries = std::fs::read_dir(format!("/proc/{id}/{what}")).expect("a process");
+    let own = |entry: std::fs::DirEntry| {
+        std::fs::read_link(entry.path()).map_or(what == "task", |to| {
+            let to = to.to_string_lossy().into_owned();
+            to.starts_with("socket:") || to.starts_with("anon_inode:")
+        })
+    };
+    entries.flatten().filter_map(|entry| own(entry).then_some(())).count()
+}
+
+/// Off: no listener, thread or descriptor more. With a group: one thread more.
+#[test]
+fn without_a_group_there_is_no_thread_and_no_descriptor_for_it() {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let fleet = Fleet::start(&executor, clock, &plan(false)).expect("three backends");
+    let with = Fleet::start(&executor, clock, &plan(true)).expect("three backends");
+    let run = async {
+        assert!(fleet.up(clock, 20_000.0).await && with.up(clock, 20_000.0).await);
+        until("founded", &with, &[0, 1, 2], agreed(3)).await;
+        // Those that looked whether it listens leave first.
+        let began = Instant::now();
+        while counted(&fleet, "fd") > OFF_DESCRIPTORS && began.elapsed() < Duration::from_secs(60) {
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    };
+    async_io::block_on(executor.run(run));
+    assert_eq!((counted(&fleet, "task"), counted(&fleet, "fd")), (OFF_THREADS, OFF_DESCRIPTORS));
+    assert_eq!(counted(&with, "task"), OFF_THREADS + 1);
+    assert!(counted(&with, "fd") > OFF_DESCRIPTORS);
+}
+
+/// As the program had before there were groups: the main thread and the reactor's; three of the reactor, eight sockets
+/// (signals, listener, agent, roster).
+const OFF_THREADS: usize = 2;
+const OFF_DESCRIPTORS: usize = 11;
--- a/crates/plovershelf-standins/src/backend.rs
+++ b/crates/plovershelf-standins/src/backend.rs
@@ -14,6 +14,8 @@
 use crate::account::{Account, Shared};
 use crate::agent::Agent;
 use crate::ledger::{self, Ledger};
+use crate::rig::{self, Rig};
+use crate::way::Way;
 use crate::{cores, free_address, Clock, Executor};
 
 /// What a set of backends is like.
@@ -32,6 +34,8 @@
     pub logs: Option<PathBuf>,
     /// The operator's file of pools.
     pub pools: Option<PathBuf>,
+    /// A group of all of them, with a way between each two and before each one's agent.
+    pub group: Option<rig::Plan>,
 }
 
 pub struct Backend {
@@ -42,6 +46,15 @@
     program: PathBuf,
     log: Option<PathBuf>,
     pools: Option<PathBuf>,
+    /// The file of its group, and the file whose presence means that its folder takes nothing.
+    group: Option<(PathBuf, PathBuf)>,
+    /// Its wall clock is off by so much from its next start on.
+    pub clock_off_ms: f64,
+    /// Stands before its agent where faults are played.
+    pub agent_way: Option<Way>,
+    /// Faults that hold it down; stopped by one.
+    pub(crate) down: u32,
+    pub(crate) stopped: bool,
     child: Option<Child>,
     /// Ends that nobody asked for.
     pub crashes: u32,
@@ -54,6 +67,8 @@
     pub account: Shared,
     /// The last beat of each name, and when.
     pub beats: Rc<RefCell<std::collections::BTreeMap<String, f64>>>,
+    /// The group's ways and folders, where there is one.
+    pub rig: Option<Rig>,
     folder: PathBuf,
 }
 
@@ -95,12 +110,19 @@
         let nanos = std::time::SystemTime::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_nanos());
         let folder = std::env::temp_dir().join(format!("plovershelf-trial-{}-{nanos}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
+        let rig = plan.group.as_ref().map(|group| Rig::start(executor, &folder, plan.backends, group));
+        let rig = rig.transpose()?;
         let mut backends = Vec::new();
         for place in 0..plan.backends {
             let agent = Agent::start(executor, clock, place, plan.cores, account.clone())?;
             let (name, address) = (format!("n{}", place + 1), free_address()?);
+            let agent_way =
+                rig.as_ref().map(|_| Way::start(executor, agent.address, place as u64)).transpose()?;
+            let agent_at = agent_way.as_ref().map_or(agent.address, |way| way.address);
+            let group =
+                rig.as_ref().map(|rig| (rig.members[place].file.clone(), rig.members[place].full.clone()));
             let configuration = json!({
-                "name": name, "listen": address.to_string(), "agent": agent.address.to_string(),
+                "name": name, "listen": address.to_string(), "agent": agent_at.to_string(),
                 "records": ledger.address.to_string(), "registry": roster_at.to_string(),
                 "seed": format!("{:016x}", 0x8c1f_30d2_7a5b_e964u64 + place as u64), "stop_ms": plan.stop_ms,
                 "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.sockets},
@@ -118,6 +140,11 @@
                 program,
                 log,
                 pools,
+                group,
+                clock_off_ms: 0.0,
+                agent_way,
+                down: 0,
+                stopped: false,
                 child: None,
                 crashes: 0,
                 told: false,
@@ -125,7 +152,7 @@
             backend.start()?;
             backends.push(backend);
         }
-        Ok(Fleet { backends, ledger, account, beats, folder })
+        Ok(Fleet { backends, ledger, account, beats, rig, folder })
     }
 
     pub fn addresses(&self) -> Vec<SocketAddr> {
@@ -160,6 +187,10 @@
         if let Some(pools) = &self.pools {
             command.env("PLOVERSHELF_POOLS", pools);
         }
+        if let Some((group, full)) = &self.group {
+            command.env("PLOVERSHELF_GROUP", group).env("PLOVERSHELF_TEST_FOLDER_FULL", full);
+            command.env("PLOVERSHELF_TEST_CLOCK_OFF_MS", self.clock_off_ms.to_string());
+        }
         match &self.log {
             Some(log) => {
                 let file = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
@@ -185,8 +216,12 @@
     pub fn leave(&mut self, grace_ms: f64) {
         self.told = true;
         self.agent.leaves(grace_ms);
+        self.signal(Signal::TERM);
+    }
+
+    pub fn signal(&self, signal: Signal) {
         if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
-            let _ = kill_process(pid, Signal::TERM);
+            let _ = kill_process(pid, signal);
         }
     }
 
--- a/crates/plovershelf-standins/src/lib.rs
+++ b/crates/plovershelf-standins/src/lib.rs
@@ -8,21 +8,26 @@
 pub mod cores;
 pub mod ledger;
 pub mod plain;
+pub mod rig;
 pub mod scripted;
 pub mod tap;
+pub mod way;
 pub mod work;
 
 use std::rc::Rc;
 use std::time::Instant;
 
 /// An address on loopback to listen on later. It stands on a host number of this process's own, from which no connection
-/// is ever made, so that no other socket takes its port in between.
+/// is ever made, and no port is given twice, so that no other socket takes it. It is not tried out: a process that is being
+/// started in that moment would hold it on for a while.
 ///
-/// Errors: as of binding a listener.
+/// Errors: none here; callers bind it.
 pub fn free_address() -> std::io::Result<std::net::SocketAddr> {
+    static NEXT: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
     let process = std::process::id();
     let host = [127, 64 + (process >> 16 & 63) as u8, (process >> 8) as u8, (process as u8).max(1)];
-    std::net::TcpListener::bind((std::net::Ipv4Addr::from(host), 0))?.local_addr()
+    let port = 10_000 + NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed) % 50_000;
+    Ok((host, port).into())
 }
 
 /// The executor that all stand-ins of a trial run on.
