Copies in the server, off by default; an ending is told only once all copies have it

Change: an ending is told only when all holders have it, by the runner's word or by asking them; of two endings the one of the later view counts.

--- a/crates/plovershelf-copies/src/copies.rs
+++ b/crates/plovershelf-copies/src/copies.rs
@@ -63,6 +63,10 @@
     /// nothing proves that nothing was launched.
     pub holders: Vec<Id>,
     pub ending: Option<Ending>,
+    /// The view under which it ended, and 1 where that was settled after a change, 0 where its runner told it. Of two endings
+    /// of one claim the later counts: an ending that all had is known to each later settling, so an older one that differs
+    /// was never told to anybody.
+    pub ended: (u64, u8),
     /// How long it is kept from now on, in milliseconds; told as a span, since clocks differ.
     pub keep_ms: u64,
 }
@@ -115,6 +119,12 @@
         claim: Claim,
         ending: Ending,
     },
+    /// The runner to the first: all holders have the ending, so it may be told.
+    Done {
+        view: u64,
+        ticket: Ticket,
+        claim: Claim,
+    },
     /// The runner to all holders: nothing was launched.
     GiveBack {
         view: u64,
@@ -227,10 +237,13 @@
     order: Order,
     holders: Vec<Id>,
     ending: Option<Ending>,
+    ended: (u64, u8),
     until: f64,
     /// Of the first: who waits for the ending, and who still has to confirm a copy made anew.
     waiting: Vec<(Id, Claim)>,
     lacking: BTreeSet<Id>,
+    /// All holders had the ending, so it outlives what is promised to be borne. Before that nobody is told of it.
+    sure: bool,
 }
 
 /// What a holder does by itself when its time has come.
@@ -283,6 +296,9 @@
     out: Vec<Told>,
 }
 
+/// Tries that wait for one ticket; more ask again by themselves.
+const WAITING_MOST: usize = 64;
+
 fn bytes(ending: &Option<Ending>) -> usize {
     match ending {
         Some(Ending::Succeeded(result)) => result.len() + 160,
@@ -291,7 +307,7 @@
 }
 
 /// Of two records of one ticket the one that counts: the later claim, then the one that has ended.
-fn newer(one: (Order, &Option<Ending>), other: (Order, &Option<Ending>)) -> bool {
+fn newer(one: (Order, bool, (u64, u8)), other: (Order, bool, (u64, u8))) -> bool {
     one > other
 }
 
@@ -396,6 +412,15 @@
         }
     }
 
+    /// What might have been launched surely was not: it is given back.
+    pub fn never_launched(&mut self, now: f64, number: u64) {
+        self.now = now;
+        if let Some(own) = self.own.get_mut(&number).filter(|own| own.stage == Stage::Running) {
+            own.stage = Stage::Waiting;
+            self.give_back(number);
+        }
+    }
+
     /// The caller is gone, or the due time has come: what was not launched is given back. Of what runs nothing changes.
     pub fn given_up(&mut self, now: f64, number: u64) {
         self.now = now;
@@ -507,6 +532,7 @@
             | Message::End { view, .. }
             | Message::Ended { view, .. }
             | Message::GiveBack { view, .. }
+            | Message::Done { view, .. }
             | Message::Tell { view, .. }
             | Message::Told { view, .. }
             | Message::Keep { view, .. }
@@ -529,6 +555,11 @@
             }
             Message::Ended { ticket, claim, ending, .. } => self.end_stands(from, ticket, claim, ending),
             Message::GiveBack { ticket, claim, .. } => self.given_back(from, ticket, claim),
+            Message::Done { ticket, claim, .. } => {
+                if self.held.get(&ticket).is_some_and(|held| held.claim == claim && claim.runner == from) {
+                    self.is_sure(ticket);
+                }
+            }
             Message::Tell { held, runs, .. } => self.told(from, held, runs),
             Message::Told { count, .. } => {
                 self.gathering.counts.insert(from, count);
@@ -546,8 +577,9 @@
             }
             Message::Kept { tickets, .. } => {
                 for ticket in tickets {
-                    if let Some(held) = self.held.get_mut(&ticket) {
-                        held.lacking.remove(&from);
+                    let Some(held) = self.held.get_mut(&ticket) else { continue };
+                    if held.lacking.remove(&from) && held.lacking.is_empty() {
+                        self.is_sure(ticket);
                     }
                 }
             }
@@ -662,8 +694,11 @@
                 let all = holders.iter().all(|holder| stands.contains(holder));
                 let early = broken::is(Broken::AnswerBeforeCopied) && holders.first() == Some(&from);
                 if all || early {
-                    let ending = ending.clone();
+                    let (ending, view) = (ending.clone(), self.view);
                     self.finish(number, Told::Answer(number, ending));
+                    if let Some(first) = holders.first().copied() {
+                        self.say(first, Message::Done { view, ticket, claim });
+                    }
                 }
             }
             // Settled while it runs: what the run comes to counts no more.
@@ -729,15 +764,25 @@
                 self.pass_on(ticket);
             }
             Some(held) => {
-                let ending = held.ending.clone();
-                if ending.is_none() && !held.waiting.contains(&(from, claim)) && held.waiting.len() < 64 {
+                let sure = held.ending.clone().filter(|_| held.sure);
+                if sure.is_none()
+                    && !held.waiting.contains(&(from, claim))
+                    && held.waiting.len() < WAITING_MOST
+                {
                     held.waiting.push((from, claim));
                 }
-                self.say(from, Message::Taken { view, ticket, claim, ending });
+                // The word that all have the ending was lost, or its runner is: they are asked from here.
+                if held.ending.is_some() && sure.is_none() && held.lacking.is_empty() {
+                    let me = self.me;
+                    held.lacking = holders.into_iter().filter(|id| *id != me).collect();
+                    self.at(self.now + self.terms.again_ms, Due::Keep, ticket);
+                }
+                self.say(from, Message::Taken { view, ticket, claim, ending: sure });
             }
             None => {
                 self.last_order += 1;
-                let record = Record { claim, order: (view, self.last_order), holders, ending: None, keep_ms };
+                let order = (view, self.last_order);
+                let record = Record { claim, order, holders, ending: None, ended: (0, 0), keep_ms };
                 // What has no room here is not confirmed, so it is not launched.
                 if self.note(ticket, record) {
                     self.pass_on(ticket);
@@ -775,10 +820,11 @@
         let until = self.now + record.keep_ms as f64;
         match self.held.get_mut(&ticket) {
             Some(held) => {
-                if newer((record.order, &record.ending), (held.order, &held.ending)) {
+                let new = (record.order, record.ending.is_some(), record.ended);
+                if newer(new, (held.order, held.ending.is_some(), held.ended)) {
                     self.held_bytes = self.held_bytes + bytes(&record.ending) - bytes(&held.ending);
                     (held.claim, held.order, held.holders) = (record.claim, record.order, record.holders);
-                    held.ending = record.ending;
+                    (held.ending, held.ended) = (record.ending, record.ended);
                 }
                 held.until = held.until.max(until);
             }
@@ -794,9 +840,11 @@
                     order: record.order,
                     holders: record.holders,
                     ending: record.ending,
+                    ended: record.ended,
                     until,
                     waiting: Vec::new(),
                     lacking: BTreeSet::new(),
+                    sure: false,
                 };
                 self.held.insert(ticket, held);
                 self.at(until, Due::Over, ticket);
@@ -809,7 +857,7 @@
         let held = self.held.get(&ticket)?;
         let keep_ms = (held.until - self.now).max(0.0) as u64;
         let (claim, order, holders) = (held.claim, held.order, held.holders.clone());
-        Some(Record { claim, order, holders, ending: held.ending.clone(), keep_ms })
+        Some(Record { claim, order, holders, ending: held.ending.clone(), ended: held.ended, keep_ms })
     }
 
     fn end(&mut self, from: Id, ticket: Ticket, claim: Claim, ending: Ending, keep_ms: u64) {
@@ -827,21 +875,27 @@
         let same = held.claim == claim;
         if held.ending.is_none() && same {
             let before = bytes(&held.ending);
-            held.ending = Some(ending);
+            (held.ending, held.ended) = (Some(ending), (view, 0));
             held.until = now + keep_ms as f64;
             self.held_bytes = self.held_bytes + bytes(&held.ending) - before;
         }
         // What stands is told, whatever was asked; of another claim nothing is confirmed.
-        let (told, waiting) = (held.ending.clone(), std::mem::take(&mut held.waiting));
-        if let Some(ending) = &told {
-            for (waits, claim) in waiting {
-                self.say(waits, Message::Taken { view, ticket, claim, ending: Some(ending.clone()) });
-            }
-        }
+        let told = held.ending.clone();
         let ending = told.filter(|_| same).unwrap_or(Ending::InDoubt);
         self.say(from, Message::Ended { view, ticket, claim, ending });
     }
 
+    /// The ending stands on all copies: those that wait are told.
+    fn is_sure(&mut self, ticket: Ticket) {
+        let view = self.view;
+        let Some(held) = self.held.get_mut(&ticket).filter(|held| held.ending.is_some()) else { return };
+        held.sure = true;
+        let ending = held.ending.clone();
+        for (waits, claim) in std::mem::take(&mut held.waiting) {
+            self.say(waits, Message::Taken { view, ticket, claim, ending: ending.clone() });
+        }
+    }
+
     fn given_back(&mut self, from: Id, ticket: Ticket, claim: Claim) {
         let own = |held: &Held| held.claim == claim && claim.runner == from && held.ending.is_none();
         if self.held.get(&ticket).is_some_and(own) {
@@ -1001,9 +1055,8 @@
             return false;
         }
         let all = told.iter().map(|(_, record)| record).chain(&here);
-        let Some(newest) = all.max_by(|a, b| (a.order, &a.ending).cmp(&(b.order, &b.ending))) else {
-            return false;
-        };
+        let rank = |record: &Record| (record.order, record.ending.is_some(), record.ended);
+        let Some(newest) = all.max_by(|a, b| rank(a).cmp(&rank(b))) else { return false };
         let mut record = newest.clone();
         record.keep_ms = told.iter().map(|(_, r)| r.keep_ms).chain([record.keep_ms]).max().unwrap_or(0);
         if record.ending.is_none() {
@@ -1026,16 +1079,17 @@
                 }
             }
         }
+        if record.ending.is_some() {
+            record.ended = (self.view, 1);
+        }
         if !self.note(ticket, record.clone()) {
             return false;
         }
-        let (me, view, holders) = (self.me, self.view, self.holders(ticket));
+        let (me, holders) = (self.me, self.holders(ticket));
         let Some(held) = self.held.get_mut(&ticket) else { return false };
         held.lacking = holders.into_iter().filter(|id| *id != me).collect();
-        let ending = held.ending.clone();
-        let waits = if ending.is_some() { std::mem::take(&mut held.waiting) } else { Vec::new() };
-        for (to, claim) in waits {
-            self.say(to, Message::Taken { view, ticket, claim, ending: ending.clone() });
+        if held.lacking.is_empty() {
+            self.is_sure(ticket);
         }
         true
     }
--- a/crates/plovershelf-copies/tests/hard_cases.rs
+++ b/crates/plovershelf-copies/tests/hard_cases.rs
@@ -215,8 +215,14 @@
         assert_eq!(copies.held_count(), 0);
     }
     // A claim of which its runner knows nothing: it is free after a while.
-    let record =
-        Record { claim, order: (2, 1), holders: vec![Id(1), Id(2), Id(3)], ending: None, keep_ms: 100 };
+    let record = Record {
+        claim,
+        order: (2, 1),
+        holders: vec![Id(1), Id(2), Id(3)],
+        ending: None,
+        ended: (0, 0),
+        keep_ms: 100,
+    };
     let first = place(ticket(1), &holders(&[1, 2, 3]), 3)[0];
     for copies in some.all.iter_mut().flatten() {
         copies.hear(1.0, first, Message::Keep { view: 2, records: vec![(ticket(1), record.clone())] });
@@ -247,6 +253,7 @@
             order: (view, place),
             holders,
             ending,
+            ended: (view, 0),
             keep_ms: 50,
         });
     let base = (views, tickets, claims, records, endings(), 0u64..4);
--- a/crates/plovershelf-copies/tests/walk/mod.rs
+++ b/crates/plovershelf-copies/tests/walk/mod.rs
@@ -283,6 +283,7 @@
         | Message::End { view, .. }
         | Message::Ended { view, .. }
         | Message::GiveBack { view, .. }
+        | Message::Done { view, .. }
         | Message::Tell { view, .. }
         | Message::Told { view, .. }
         | Message::Keep { view, .. }
--- a/crates/plovershelf-group/src/frames.rs
+++ b/crates/plovershelf-group/src/frames.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::council::Id;
 use crate::group::{Envelope, VERSION};
 use crate::status::{Answer, Question};
 
@@ -91,6 +92,11 @@
     framed(&postcard::to_stdvec(value).unwrap_or_default())
 }
 
+/// Without length and checksum, for what stands in a frame.
+pub fn plain<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap_or_default()
+}
+
 pub fn decode<T: serde::de::DeserializeOwned>(content: &[u8]) -> Result<T, Spoilt> {
     postcard::from_bytes(content).map_err(|_| Spoilt::Content)
 }
@@ -101,4 +107,10 @@
     Say(Envelope),
     Ask(Question),
     Answer(Box<Answer>),
+    /// What another part of the product says to its like: whose memory says it, for whose.
+    Part {
+        from: Id,
+        to: Id,
+        bytes: Vec<u8>,
+    },
 }
--- a/crates/plovershelf-operator/src/group.rs
+++ b/crates/plovershelf-operator/src/group.rs
@@ -23,6 +23,8 @@
     pub terms: Terms,
     /// Others, by name, that are reached at another address than they say.
     pub ways: BTreeMap<String, SocketAddr>,
+    /// Copies of what is held for others, where there are to be any.
+    pub copies: Option<plovershelf_copies::copies::Terms>,
 }
 
 const KEYS: [&str; 16] = [
@@ -43,8 +45,9 @@
     "replace_ms",
     "drift_percent",
 ];
+const COPIES_KEYS: [&str; 6] = ["copies", "least", "tickets", "memory_mb", "again_ms", "batches_a_second"];
 /// Sections that other parts of the product read.
-const OTHERS: [&str; 4] = ["copies", "zone ", "region ", "way "];
+const OTHERS: [&str; 3] = ["zone ", "region ", "way "];
 
 /// Reads the file's text.
 ///
@@ -62,6 +65,7 @@
         folder: None,
         terms,
         ways: BTreeMap::new(),
+        copies: None,
     };
     let mut seen: Vec<&str> = Vec::new();
     for (section, told) in ini.iter() {
@@ -81,6 +85,10 @@
                 reading.check_keys(section, told, &KEYS);
                 own(&mut reading, told, &mut group);
             }
+            "copies" => {
+                reading.check_keys(section, told, &COPIES_KEYS);
+                group.copies = Some(copies(&mut reading, told));
+            }
             "ways" => {
                 for (from, to) in told.iter() {
                     match to.trim().parse() {
@@ -99,6 +107,24 @@
     reading.done(group)
 }
 
+fn copies(reading: &mut Reading<'_>, told: &ini::Properties) -> plovershelf_copies::copies::Terms {
+    let section = "copies";
+    let mut terms = plovershelf_copies::copies::Terms::default();
+    terms.copies = reading.count(section, told, "copies", terms.copies);
+    terms.least = reading.count(section, told, "least", terms.least.min(terms.copies));
+    if !(2..=7).contains(&terms.copies) || terms.least == 0 || terms.least > terms.copies {
+        reading.say(section, "copies is from 2 to 7, and least from 1 to copies");
+    }
+    let mut number =
+        |key: &str, range: [f64; 2], otherwise: f64| reading.number(section, told, key, range, otherwise);
+    terms.tickets = number("tickets", [100.0, 10_000_000.0], terms.tickets as f64) as usize;
+    terms.bytes =
+        (number("memory_mb", [1.0, 65_536.0], terms.bytes as f64 / 1_048_576.0) * 1_048_576.0) as usize;
+    terms.again_ms = number("again_ms", [10.0, 10_000.0], terms.again_ms);
+    terms.batches_a_second = number("batches_a_second", [1.0, 100_000.0], terms.batches_a_second);
+    terms
+}
+
 fn own(reading: &mut Reading<'_>, told: &ini::Properties, group: &mut Group) {
     let section = "group";
     let words = |key: &str| -> Vec<String> {
--- a/crates/plovershelf-server/src/group.rs
+++ b/crates/plovershelf-server/src/group.rs
@@ -4,9 +4,12 @@
 //! The ordinary path: a frame or a due time reaches the keeper, which asks the state machine, keeps what is to be kept, and
 //! only then hands out what is to be said.
 
+mod copied;
 mod folder;
 mod links;
 
+pub use copied::{Asked, Told};
+
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -74,15 +77,26 @@
 
 /// All that can happen to the keeper from outside.
 pub enum Incoming {
-    Wire { wire: Box<Wire>, from_here: bool, answer: Sender<Answer> },
+    Wire {
+        wire: Box<Wire>,
+        from_here: bool,
+        answer: Sender<Answer>,
+    },
     Odd(String),
+    /// What the owner wants of the copies.
+    Asked(Asked),
     Leave,
 }
 
 /// Starts the group's thread. What the sender takes reaches it.
 ///
 /// Errors: the listener or the folder can't be had, in one line.
-pub fn start(setup: Setup, name: String, pulse: Arc<Pulse>) -> Result<Sender<Incoming>, String> {
+pub fn start(
+    setup: Setup,
+    name: String,
+    pulse: Arc<Pulse>,
+    told: Option<Sender<Told>>,
+) -> Result<Sender<Incoming>, String> {
     let listener = TcpListener::bind(setup.listen)
         .map_err(|error| format!("the group's listener on {}: {error}", setup.listen))?;
     let (folder, identity, kept) = Folder::open(&setup, &name, wall_ms())?;
@@ -112,7 +126,13 @@
         };
         executor.spawn(listening).detach();
         let links = Links::new(executor, &setup.name, setup.ways.clone());
+        let copies = setup
+            .copies
+            .clone()
+            .zip(told)
+            .map(|(terms, told)| copied::Copied::new(start.about.id, terms, told));
         let keeper = Keeper {
+            copies,
             group: Group::new(start, now_ms()),
             name: setup.name.clone(),
             folder,
@@ -134,6 +154,7 @@
 
 struct Keeper {
     group: Group,
+    copies: Option<copied::Copied>,
     name: String,
     folder: Option<Folder>,
     folder_again_at: Option<f64>,
@@ -169,7 +190,8 @@
     }
 
     fn next_at(&self) -> f64 {
-        self.group.next_at().min(self.pulse_at).min(self.folder_again_at.unwrap_or(f64::INFINITY))
+        let copies = self.copies.as_ref().map_or(f64::INFINITY, copied::Copied::next_at);
+        self.group.next_at().min(copies).min(self.pulse_at).min(self.folder_again_at.unwrap_or(f64::INFINITY))
     }
 
     fn tick(&mut self) {
@@ -184,6 +206,9 @@
         if self.group.next_at() <= now {
             self.group.tick(now);
         }
+        if let Some(copies) = self.copies.as_mut().filter(|copies| copies.next_at() <= now) {
+            copies.tick(now);
+        }
         self.carry_out();
     }
 
@@ -194,8 +219,18 @@
                 Wire::Say(envelope) => self.group.hear(now, envelope),
                 Wire::Ask(question) => self.asked(question, from_here, answer),
                 Wire::Answer(_) => {}
+                Wire::Part { from, to, bytes } => {
+                    if let Some(copies) = self.copies.as_mut().filter(|_| to == self.group.about().id) {
+                        copies.hear(now, from, &bytes);
+                    }
+                }
             },
             Incoming::Odd(what) => self.note(&what),
+            Incoming::Asked(asked) => {
+                if let Some(copies) = self.copies.as_mut() {
+                    copies.asked(now, asked);
+                }
+            }
             Incoming::Leave => {}
         }
         self.carry_out();
@@ -247,6 +282,19 @@
             self.links.send(whereto.address, name.as_deref(), &Wire::Say(envelope));
         }
         events.into_iter().for_each(|event| self.tell(event));
+        self.hand_out_copies();
+    }
+
+    /// What the copies say goes by the links of the group, to whom the agreed view says.
+    fn hand_out_copies(&mut self) {
+        let Some(copies) = self.copies.as_mut() else { return };
+        let from = self.group.about().id;
+        for (to, bytes) in copies.take() {
+            let seat = self.group.view().members.get(&to).map(|seat| (seat.address, seat.name.clone()));
+            if let Some((address, name)) = seat {
+                self.links.send(address, Some(&name), &Wire::Part { from, to, bytes });
+            }
+        }
     }
 
     fn try_folder(&mut self, now: f64) {
@@ -264,6 +312,9 @@
     fn tell(&mut self, event: Event) {
         match event {
             Event::View(view) => {
+                if let Some(copies) = self.copies.as_mut() {
+                    copies.view_is(now_ms(), &view);
+                }
                 tracing::info!(
                     event = "view",
                     number = view.number,
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -40,10 +40,25 @@
     let (move_agent, agent_moved) = async_channel::bounded(1);
     let Launch { peers, told, pools, group, .. } = launch;
     let pulse = group.is_some().then(std::sync::Arc::<group::Pulse>::default);
+    let (told_by_copies, copies_told) = async_channel::unbounded();
+    let with_copies = group.as_ref().is_some_and(|setup| setup.copies.is_some());
     let in_group = match (group, &pulse) {
-        (Some(setup), Some(pulse)) => Some(group::start(setup, launch.name.clone(), pulse.clone())?),
+        (Some(setup), Some(pulse)) => {
+            let told = with_copies.then_some(told_by_copies);
+            Some(group::start(setup, launch.name.clone(), pulse.clone(), told)?)
+        }
         _ => None,
     };
+    let copied = in_group.clone().filter(|_| with_copies);
+    if with_copies {
+        let events = events.clone();
+        let hand_on = async move {
+            while let Ok(told) = copies_told.recv().await {
+                let _ = events.send(Event::Copies(told)).await;
+            }
+        };
+        executor.spawn(hand_on).detach();
+    }
     let offerings = launch.start.offerings.clone();
     let agent = agent::keep_link(peers.agent.clone(), agent_moved, events.clone(), limits.clone());
     executor.spawn(agent).detach();
@@ -77,7 +92,7 @@
     tracing::info!("{} listens on {}", launch.name, launch.listen);
     let (start, stop_ms) = (launch.start, launch.stop_ms);
     let owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
-    let mut owner = owner.with_pools(pools)?.with_pulse(pulse);
+    let mut owner = owner.with_pools(pools)?.with_pulse(pulse).with_copies(copied);
     let run = async {
         owner.run().await;
         // What was answered last is still on its way out of the connections' own tasks.
--- a/crates/plovershelf-server/src/messages.rs
+++ b/crates/plovershelf-server/src/messages.rs
@@ -39,6 +39,8 @@
         id: TryId,
         over: CallOver,
     },
+    /// What the copies say of a ticketed invocation.
+    Copies(crate::group::Told),
     /// The operator's file of pools was read again.
     Pools(plovershelf_pools::Plan),
     Leave,
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -2,6 +2,7 @@
 //! gets orders back through queues of its own; it never waits for any of them.
 
 mod below;
+mod copied;
 mod peers;
 mod pooled;
 mod work;
@@ -78,6 +79,8 @@
     proving: Option<(u64, Vec<u8>)>,
     result: Vec<u8>,
     mark: Option<Mark>,
+    /// Where tickets have copies: how far its claim is.
+    copied: copied::Stage,
 }
 
 /// The place of a launch that no link has taken; the number of no call.
@@ -125,6 +128,8 @@
     pools_told_at: f64,
     /// Where a group wants to know that this goes round and does its work.
     pulse: Option<std::sync::Arc<crate::group::Pulse>>,
+    /// Takes what is wanted of the copies, where tickets have any.
+    copies: Option<Sender<crate::group::Incoming>>,
 }
 
 fn unix_ms() -> f64 {
@@ -176,6 +181,7 @@
             pooled: None,
             pools_told_at: 0.0,
             pulse: None,
+            copies: None,
             limits,
         }
     }
@@ -193,6 +199,11 @@
         self
     }
 
+    pub fn with_copies(mut self, copies: Option<Sender<crate::group::Incoming>>) -> Self {
+        self.copies = copies;
+        self
+    }
+
     /// Takes events and due times in turn until the notice to leave has been carried out.
     pub async fn run(&mut self) {
         while !self.over {
@@ -298,6 +309,7 @@
             Event::Agent(said) => self.hear(said),
             Event::Odd(what) => self.complain(&what),
             Event::CallOver { id, over } => self.call_over(id, over),
+            Event::Copies(told) => self.copies_told(told),
             Event::Pools(plan) => self.replan(plan),
             Event::Leave => self.leave(),
         }
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -158,13 +158,21 @@
 
     pub(super) fn run_over(&mut self, id: TryId, over: RunOver, result: Vec<u8>) {
         let Some(&id) = self.by_try.get(&id) else { return };
-        let Some(open) = self.open.get_mut(&id) else { return };
+        if self.holds_end(id, &over, &result) {
+            return;
+        }
         let end = match over {
             RunOver::Success => RunEnd::Ok,
             RunOver::Failure => RunEnd::Error,
             RunOver::Interrupted => RunEnd::Stopped,
             RunOver::Nothing => RunEnd::NeverBegan,
         };
+        self.run_ended(id, end, result);
+    }
+
+    /// A run's end as callers hear of it.
+    pub(super) fn run_ended(&mut self, id: u32, end: RunEnd, result: Vec<u8>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
         open.result = result;
         if let Some(mark) = open.mark.clone() {
             let kept = (end == RunEnd::Ok).then(|| open.result.clone());
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -153,6 +153,7 @@
             proving: None,
             result: Vec::new(),
             mark,
+            copied: Default::default(),
         };
         self.open.insert(arrival.id, open);
         self.decide(|backend, now| backend.arrived(now, arrival));
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -36,7 +36,11 @@
             }
         }
         match (change.from, change.to) {
-            (Some(State::Held), State::Running) => self.launch(id),
+            (Some(State::Held), State::Running) => {
+                if !self.claim(id) {
+                    self.launch(id);
+                }
+            }
             (Some(State::AtCall), State::Running) => self.command_for(id, commands::forgo),
             (_, State::Calling { within_ms }) => self.place_call(id, within_ms),
             (_, State::Joined) => self.join(id),
@@ -46,10 +50,12 @@
                 if stop {
                     self.command_for(id, commands::freeze);
                 }
+                self.claim_given_up(id);
                 self.settle_doubt(id);
             }
             (Some(_), State::Ended(ending)) => {
                 self.give_up_call(id);
+                self.claim_given_up(id);
                 self.answer(id, ending);
                 self.forget(id);
             }
@@ -59,7 +65,8 @@
 
     /// Work that is over for its caller and may never have reached the agent is not waited for.
     pub(super) fn settle_doubt(&mut self, id: u32) {
-        let unheard = |open: &&Open| open.doubtful || open.launched == Some(NEVER);
+        let unheard =
+            |open: &&Open| open.doubtful || open.launched == Some(NEVER) || open.copied.holds_launch();
         if self.open.get(&id).filter(unheard).is_some() {
             self.ended.push_back((id, RunEnd::NeverBegan));
         }
