--- a/crates/plovershelf-cli/src/trial/copies.rs
+++ b/crates/plovershelf-cli/src/trial/copies.rs
@@ -75,17 +75,20 @@
     peak_kb: u64,
 }
 
-/// One caller's tries of a ticket, one after the other at members drawn anew.
-async fn tries(
+/// One caller's tries of a ticket.
+struct Caller {
     plain: Plain,
     members: Vec<std::net::SocketAddr>,
-    work: Work,
     seed: u64,
-    left: u32,
+    tries: u32,
     told: Rc<Told>,
     story: Rc<RefCell<Story>>,
     clock: Clock,
-) {
+}
+
+/// One after the other, at members drawn anew.
+async fn tries(caller: Caller, work: Work) {
+    let Caller { plain, members, seed, tries, told, story, clock } = caller;
     let mut chance = Pcg64::seed_from_u64(seed);
     let ticket = format!("ticket-{}", work.number);
     let body = work.body();
@@ -98,7 +101,7 @@
         body: &body,
         within: Duration::from_millis(1500),
     };
-    for place in 0..left {
+    for place in 0..tries {
         if place > 0 {
             count(&told.elsewhere);
         }
@@ -190,13 +193,21 @@
                     asks.push((chance.random_range(200..2500), 1));
                 }
                 for (after_ms, left) in asks {
-                    let (plain, members, told, story) =
-                        (plains[number as usize % 8].clone(), members.clone(), told.clone(), story.clone());
-                    let seed = chance.random();
+                    let plain = plains[number as usize % 8].clone();
+                    let caller = Caller {
+                        plain,
+                        members: members.clone(),
+                        seed: chance.random(),
+                        tries: left,
+                        told: told.clone(),
+                        story: story.clone(),
+                        clock,
+                    };
+                    let told = told.clone();
                     let one = async move {
                         Timer::after(Duration::from_millis(after_ms)).await;
                         told.open.set(told.open.get() + 1);
-                        tries(plain, members, work, seed, left, told.clone(), story, clock).await;
+                        tries(caller, work).await;
                         told.open.set(told.open.get() - 1);
                     };
                     executor.spawn(one).detach();
--- a/crates/plovershelf-server/tests/group.rs
+++ b/crates/plovershelf-server/tests/group.rs
@@ -12,7 +12,9 @@
 use plovershelf_group::status::{Answer, Question, Status};
 use plovershelf_model::schedule::{Fault, Folder};
 use plovershelf_standins::backend::{Fleet, Plan};
+use plovershelf_standins::plain::{Asked, Ended, Plain};
 use plovershelf_standins::scripted::SETTINGS;
+use plovershelf_standins::work::{Effect, Work};
 use plovershelf_standins::{cores, ledger, rig, Clock, Executor};
 
 fn plan(group: bool) -> Plan {
@@ -157,6 +159,45 @@
     async_io::block_on(executor.run(run));
 }
 
+/// A repeat that reaches another backend gets the result, also when the one that ran it is lost with its disk.
+#[test]
+fn a_ticket_runs_once_at_whichever_backend_its_tries_arrive() {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let mut plan = plan(true);
+    plan.group =
+        plan.group.map(|group| rig::Plan { more: "\n[copies]\ncopies = 3\nleast = 2\n".into(), ..group });
+    let mut fleet = Fleet::start(&executor, clock, &plan).expect("three backends");
+    let run = async {
+        until("founded", &fleet, &[0, 1, 2], agreed(3)).await;
+        assert!(fleet.up(clock, 20_000.0).await);
+        let addresses = fleet.addresses();
+        let caller = Plain::new(&executor, &addresses, 1);
+        let work = Work { number: 1, work_ms: 5.0, calls: 0, effect: Effect::Ticketed };
+        let body = work.body();
+        let asked = Asked {
+            offering: "marked",
+            tenant: "acme",
+            rank: 0.5,
+            ticket: Some("00000000000000a1"),
+            rerunnable: false,
+            body: &body,
+            within: Duration::from_secs(20),
+        };
+        let well = Ended::Succeeded(work.result());
+        assert_eq!(caller.once(addresses[0], &asked).await, well);
+        assert_eq!(caller.once(addresses[1], &asked).await, well);
+        assert_eq!(fleet.account.borrow().runs(), 1);
+        fleet.fault(&Fault::Kill { member: 0, folder: Folder::Wiped }, true, 3);
+        until("out", &fleet, &[1, 2], agreed(2)).await;
+        assert_eq!(caller.once(addresses[2], &asked).await, well);
+        assert_eq!(caller.once(addresses[1], &asked).await, well);
+        let account = fleet.account.borrow();
+        assert!(account.runs() == 1 && account.launched_twice().is_empty());
+    };
+    async_io::block_on(executor.run(run));
+}
+
 /// Threads, or descriptors but for files and pipes, which a process may be given by the one that starts it.
 fn counted(fleet: &Fleet, what: &str) -> usize {
     let id = fleet.backends[0].id().expect("it runs");
