--- a/crates/plovershelf-copies/src/copies.rs
+++ b/crates/plovershelf-copies/src/copies.rs
@@ -163,6 +163,29 @@
     },
 }
 
+impl Message {
+    /// The number of the view under which it is said.
+    pub fn view(&self) -> u64 {
+        match self {
+            Message::Claim { view, .. }
+            | Message::Copy { view, .. }
+            | Message::Stands { view, .. }
+            | Message::Taken { view, .. }
+            | Message::Free { view, .. }
+            | Message::End { view, .. }
+            | Message::Ended { view, .. }
+            | Message::GiveBack { view, .. }
+            | Message::Done { view, .. }
+            | Message::Tell { view, .. }
+            | Message::Told { view, .. }
+            | Message::Keep { view, .. }
+            | Message::Kept { view, .. }
+            | Message::HeardAll { view }
+            | Message::Still { view, .. } => *view,
+        }
+    }
+}
+
 /// Spans in milliseconds, counts, bytes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -523,23 +546,7 @@
 
     pub fn hear(&mut self, now: f64, from: Id, message: Message) {
         self.now = now;
-        let view = match &message {
-            Message::Claim { view, .. }
-            | Message::Copy { view, .. }
-            | Message::Stands { view, .. }
-            | Message::Taken { view, .. }
-            | Message::Free { view, .. }
-            | Message::End { view, .. }
-            | Message::Ended { view, .. }
-            | Message::GiveBack { view, .. }
-            | Message::Done { view, .. }
-            | Message::Tell { view, .. }
-            | Message::Told { view, .. }
-            | Message::Keep { view, .. }
-            | Message::Kept { view, .. }
-            | Message::HeardAll { view }
-            | Message::Still { view, .. } => *view,
-        };
+        let view = message.view();
         // The fence: what is said under another view is not taken. Its sender says it again.
         if view != self.view || !self.members.iter().any(|holder| holder.id == from) {
             return;
--- a/crates/plovershelf-copies/tests/walk/mod.rs
+++ b/crates/plovershelf-copies/tests/walk/mod.rs
@@ -166,7 +166,7 @@
         for ((from, to), link) in &world.under_way {
             // What is said under a view that the other does not know yet lies there until it does.
             let view = world.members[*to].as_ref().map_or(u64::MAX, Copies::view);
-            let ahead = link.front().is_some_and(|message| said_under(message) > view);
+            let ahead = link.front().is_some_and(|message| message.view() > view);
             if !ahead {
                 steps.push(Step::Deliver(*from, *to, false));
                 if world.left.doubles > 0 {
@@ -273,26 +273,6 @@
     holds
 }
 
-fn said_under(message: &Message) -> u64 {
-    match message {
-        Message::Claim { view, .. }
-        | Message::Copy { view, .. }
-        | Message::Stands { view, .. }
-        | Message::Taken { view, .. }
-        | Message::Free { view, .. }
-        | Message::End { view, .. }
-        | Message::Ended { view, .. }
-        | Message::GiveBack { view, .. }
-        | Message::Done { view, .. }
-        | Message::Tell { view, .. }
-        | Message::Told { view, .. }
-        | Message::Keep { view, .. }
-        | Message::Kept { view, .. }
-        | Message::HeardAll { view }
-        | Message::Still { view, .. } => *view,
-    }
-}
-
 /// The holders of the ticket, the first at the front, as places.
 pub fn holders(members: usize, copies: usize) -> Vec<usize> {
     let all = Tickets {
