--- /dev/null
+++ b/crates/plovershelf-cli/src/copies.rs
@@ -0,0 +1,110 @@
+//! `plovershelf copies`: what a member holds for others, and what it knows of one ticket.
+
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use plovershelf_group::status::{Answer, CopiesStatus, Question, TicketStatus};
+
+use crate::group::{ask, Whom};
+
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    command: Command,
+    #[command(flatten)]
+    whom: Whom,
+    /// One JSON object instead of lines.
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// What this member holds, how much of it has too few copies, what it runs, whom it passes over.
+    Status,
+    /// One ticket: where its copies lie, who ran it, how it ended, for how long it is kept.
+    Show { offering: String, ticket: String },
+}
+
+/// Exit statuses: 0 told, 1 refused, or a ticket that is not held there; an error is a member that could not be asked.
+pub fn run(options: &Options) -> Result<u8, String> {
+    let (at, name) = options.whom.at()?;
+    let question = match &options.command {
+        Command::Status => Question::Copies,
+        Command::Show { offering, ticket } => {
+            Question::Ticket { offering: offering.clone(), ticket: ticket.clone() }
+        }
+    };
+    let json = |value: serde_json::Result<String>| value.map_err(|error| error.to_string());
+    match async_io::block_on(ask(at, &name, question, Duration::from_secs(10)))? {
+        Answer::Copies(status) => {
+            println!("{}", if options.json { json(serde_json::to_string(&status))? } else { told(&status) });
+            Ok(0)
+        }
+        Answer::Ticket(ticket) => {
+            println!("{}", if options.json { json(serde_json::to_string(&ticket))? } else { shown(&ticket) });
+            Ok(u8::from(ticket.held.is_none()))
+        }
+        Answer::Refused(why) => {
+            eprintln!("plovershelf: refused: {why}");
+            Ok(1)
+        }
+        Answer::Status(_) | Answer::Done(_) => Err(format!("{at}: answered something else")),
+    }
+}
+
+fn told(status: &CopiesStatus) -> String {
+    let mut lines = vec![
+        format!(
+            "member {}, view {}, {} copies of each ticket, claims from {} on{}",
+            status.name,
+            status.view,
+            status.copies,
+            status.least,
+            if status.settled { "" } else { "; NOT SETTLED: it waits for what others hold of its tickets" }
+        ),
+        format!(
+            "holds {} tickets of {}, {:.1} MB of {:.0}",
+            status.held,
+            status.held_most,
+            status.held_bytes as f64 / 1_048_576.0,
+            status.held_bytes_most as f64 / 1_048_576.0
+        ),
+        format!(
+            "its own: {} asked for, {} wait for another's end, {} run, {} whose end is being copied",
+            status.asking, status.waiting, status.running, status.ending
+        ),
+    ];
+    if status.low > 0 {
+        lines.push(format!("{} tickets have FEWER COPIES than they should and are being copied", status.low));
+    }
+    if !status.doubted.is_empty() {
+        lines.push(format!("passes over: {}", status.doubted.join(", ")));
+    }
+    if !status.leaving.is_empty() {
+        lines.push(format!("leaving: {}", status.leaving.join(", ")));
+    }
+    lines.join("\n")
+}
+
+fn shown(ticket: &TicketStatus) -> String {
+    let mut lines = vec![format!(
+        "ticket {}, as {} sees it by view {}: copies lie at {}",
+        ticket.hash,
+        ticket.name,
+        ticket.view,
+        ticket.placed.join(", ")
+    )];
+    lines.push(match &ticket.held {
+        None => format!("{} holds nothing of it", ticket.name),
+        Some(held) => format!(
+            "{}; run by {}, claimed under view {} at {}; kept for {:.1} s more",
+            held.state,
+            held.runner,
+            held.claimed_under_view,
+            held.holders.join(", "),
+            held.keep_ms as f64 / 1000.0
+        ),
+    });
+    lines.join("\n")
+}
--- a/crates/plovershelf-cli/src/group.rs
+++ b/crates/plovershelf-cli/src/group.rs
@@ -11,10 +11,9 @@
 use plovershelf_group::frames::{decode, encode, unframed, Hello, Wire};
 use plovershelf_group::status::{Answer, Question, Status};
 
+/// Which member is asked.
 #[derive(Args)]
-pub struct Options {
-    #[command(subcommand)]
-    command: Command,
+pub struct Whom {
     /// A member's address, as `listen` in its group.ini.
     #[arg(long, global = true, value_name = "ADDRESS:PORT", conflicts_with = "file")]
     at: Option<SocketAddr>,
@@ -24,6 +23,33 @@
     /// A member's group.ini: its address and the group's name are taken from there.
     #[arg(long, global = true, value_name = "FILE")]
     file: Option<PathBuf>,
+}
+
+impl Whom {
+    /// The member's address and the group's name.
+    ///
+    /// Errors: neither file nor address was given, or the file is wrong.
+    pub fn at(&self) -> Result<(SocketAddr, String), String> {
+        match (&self.file, self.at) {
+            (Some(file), _) => {
+                let text =
+                    std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+                let group = plovershelf_operator::group::read(&file.to_string_lossy(), &text)
+                    .map_err(|w| w.to_string())?;
+                Ok((group.listen, group.name))
+            }
+            (None, Some(at)) => Ok((at, self.name.clone())),
+            (None, None) => Err("--file group.ini or --at ADDRESS:PORT says which member to ask".into()),
+        }
+    }
+}
+
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    command: Command,
+    #[command(flatten)]
+    whom: Whom,
     /// One JSON object instead of tables.
     #[arg(long, global = true)]
     json: bool,
@@ -87,17 +113,7 @@
 
 /// Exit statuses: 0 done, 1 refused; an error is a member that could not be asked.
 pub fn run(options: &Options) -> Result<u8, String> {
-    let (at, name) = match (&options.file, options.at) {
-        (Some(file), _) => {
-            let text =
-                std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
-            let group = plovershelf_operator::group::read(&file.to_string_lossy(), &text)
-                .map_err(|w| w.to_string())?;
-            (group.listen, group.name)
-        }
-        (None, Some(at)) => (at, options.name.clone()),
-        (None, None) => return Err("--file group.ini or --at ADDRESS:PORT says which member to ask".into()),
-    };
+    let (at, name) = options.whom.at()?;
     let question = match &options.command {
         Command::Status | Command::Members | Command::History => Question::Status,
         Command::Replace { voter } => Question::Replace { voter: voter.clone() },
@@ -116,6 +132,7 @@
             }
             Ok(0)
         }
+        Answer::Copies(_) | Answer::Ticket(_) => Err(format!("{at}: answered something else")),
         Answer::Done(what) => {
             println!("{what}");
             Ok(0)
@@ -179,7 +196,7 @@
             format!("{:016x}", member.memory),
             member.condition.clone(),
             format!("{:.0}", member.since_ms / 1000.0),
-            yes(member.fit),
+            if member.leaving { "leaves".into() } else { yes(member.fit) },
             yes(member.in_view),
             yes(member.voter),
             member.lag.map_or(String::new(), |lag| lag.to_string()),
--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 mod call;
+mod copies;
 mod demo;
 mod group;
 mod load;
@@ -37,6 +38,8 @@
     Call(call::Options),
     /// A group of backends: who is in it, what it decided, and the commands that change it by hand.
     Group(group::Options),
+    /// What a member holds for others: how much, with how many copies, and what of one ticket.
+    Copies(copies::Options),
     /// Judges a history that a trial left.
     Audit(audit::Options),
     /// Measures a claim on real processes; `plovershelf trial --list` names all.
@@ -81,6 +84,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Call(options) => call::run(&options),
         Command::Group(options) => group::run(&options),
+        Command::Copies(options) => copies::run(&options),
         Command::Audit(options) => audit::run(&options),
         Command::Trial(options) => trial::run(&options),
     };
--- a/crates/plovershelf-cli/src/trial/copies.rs
+++ b/crates/plovershelf-cli/src/trial/copies.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use plovershelf_group::status::{Answer, Question};
 use plovershelf_model::copies::schedule as drawn;
 use plovershelf_model::schedule::{Fault, Folder, Schedule, Step};
 use plovershelf_model::statistics::Spread;
@@ -24,9 +25,13 @@
 const ZONES: usize = 3;
 const VOTERS: usize = 7;
 const LOSSES: usize = 20;
-const CORES: f64 = 2.0;
-const TICKETS_A_SECOND: f64 = 60.0;
-const WORK_MS: f64 = 25.0;
+const CORES: f64 = 1.0;
+const WORK_MS: f64 = 60.0;
+/// Of what the cores do: once below, once above.
+const DEMAND: f64 = 0.8;
+const DEMAND_OVER: f64 = 1.5;
+const LOSSES_OVER: usize = 6;
+const MEMORY_MB: f64 = 64.0;
 const TRIES: u32 = 8;
 
 /// The model's schedule, its pairs lost at once as two machines each.
@@ -46,6 +51,8 @@
 #[derive(Default)]
 struct Story {
     succeeded: bool,
+    /// A try was dismissed after another had a verdict.
+    dismissed_after: bool,
     scrapped: u32,
     after_success: u32,
 }
@@ -65,11 +72,15 @@
     cell.set(cell.get() + 1);
 }
 
-struct Came {
+pub(super) struct Came {
+    low_s_worst: f64,
+    round_trip_ms: f64,
     told: Rc<Told>,
     effects_twice: u64,
     other_after: u64,
     verdicts_that_differ: u64,
+    /// Tickets of which a try was dismissed after another had heard how they ended.
+    dismissed_after_verdict: u64,
     doubt: u64,
     rules_broken: u64,
     peak_kb: u64,
@@ -135,6 +146,10 @@
             }
             Ended::Dismissed => {
                 count(&told.dismissed);
+                {
+                    let mut story = story.borrow_mut();
+                    story.dismissed_after |= story.succeeded || story.scrapped > 0;
+                }
                 Timer::after(Duration::from_millis(300)).await;
             }
             Ended::Failed => {
@@ -144,11 +159,25 @@
     }
 }
 
-fn play(ground: &Ground, schedule: &Schedule, with_copies: bool) -> Result<Came, String> {
+/// What a member says of its copies: this one figure hangs on its own word.
+async fn low(at: std::net::SocketAddr) -> Option<(u64, f64)> {
+    let began = std::time::Instant::now();
+    let answer = crate::group::ask(at, "trial", Question::Copies, Duration::from_millis(300)).await.ok()?;
+    let Answer::Copies(status) = answer else { return None };
+    Some((status.low, began.elapsed().as_secs_f64() * 1000.0))
+}
+
+pub(super) fn play(
+    ground: &Ground,
+    schedule: &Schedule,
+    with_copies: bool,
+    demand: f64,
+) -> Result<Came, String> {
     let executor = &ground.executor;
     let clock = Clock::start();
     let mut plan = plan(ground, MEMBERS, 20);
     plan.cores = cores::Shape { cores: CORES, ..plan.cores };
+    plan.memory_mb = MEMORY_MB;
     plan.settings = load::settings(CORES, MEMBERS, 20, 40.0, 8.0);
     let more = if with_copies {
         "replace_ms = 1500\n\n[copies]\ncopies = 3\nleast = 2\nmemory_mb = 16\n"
@@ -212,21 +241,46 @@
                     };
                     executor.spawn(one).detach();
                 }
-                let gap = -chance.random::<f64>().max(1e-9).ln() * 1000.0 / TICKETS_A_SECOND;
+                let a_second = demand * MEMBERS as f64 * CORES * 1000.0 / WORK_MS;
+                let gap = -chance.random::<f64>().max(1e-9).ln() * 1000.0 / a_second;
                 Timer::after(Duration::from_secs_f64(gap / 1000.0)).await;
             }
         };
         let faults = rig::play(&fleet, clock, schedule, &done);
-        futures_lite::future::zip(faults, ask).await;
+        // How long any member had tickets with too few copies, asked of all a few times a second.
+        let (low_most, trips) = (Cell::new(0.0f64), RefCell::new(Spread::default()));
+        let watch = async {
+            let mut since: Vec<Option<f64>> = vec![None; MEMBERS];
+            let at: Vec<_> =
+                fleet.borrow().rig.iter().flat_map(|rig| rig.members.iter().map(|m| m.address)).collect();
+            while with_copies && clock.now() < ends {
+                for (member, at) in at.iter().enumerate() {
+                    match low(*at).await {
+                        Some((low, took)) => {
+                            trips.borrow_mut().put(took);
+                            since[member] = if low > 0 { since[member].or(Some(clock.now())) } else { None };
+                        }
+                        None => since[member] = None,
+                    }
+                    if let Some(since) = since[member] {
+                        low_most.set(low_most.get().max(clock.now() - since));
+                    }
+                }
+                Timer::after(Duration::from_millis(150)).await;
+            }
+        };
+        futures_lite::future::zip(futures_lite::future::zip(faults, ask), watch).await;
         let until = clock.now() + 15_000.0;
         while told.open.get() > 0 && clock.now() < until {
             Timer::after(Duration::from_millis(50)).await;
         }
+        let round_trip_ms = trips.borrow().at(0.5);
         let mut fleet = fleet.into_inner();
         let peak_kb = fleet.backends.iter().filter_map(|backend| backend.peak_kb()).max().unwrap_or(0);
         let mut rules_broken = told.wrong.get() + fleet.account.borrow().ledger_fell;
         for backend in &mut fleet.backends {
-            rules_broken += u64::from(backend.ended().is_some());
+            backend.ended();
+            rules_broken += u64::from(backend.crashes);
         }
         let effects_twice = fleet.account.borrow().launched_twice().len() as u64;
         let stories = stories.borrow();
@@ -234,8 +288,11 @@
         Ok(Came {
             effects_twice,
             other_after: all().filter(|story| story.after_success > 0).count() as u64,
+            dismissed_after_verdict: all().filter(|story| story.dismissed_after).count() as u64,
             verdicts_that_differ: all().filter(|story| story.succeeded && story.scrapped > 0).count() as u64,
             doubt: all().filter(|story| story.scrapped > 0).count() as u64,
+            low_s_worst: low_most.get() / 1000.0,
+            round_trip_ms,
             rules_broken,
             peak_kb,
             told,
@@ -244,36 +301,69 @@
     async_io::block_on(executor.run(run))
 }
 
-pub fn run(ground: &Ground) -> Result<Figures, String> {
-    // A loss takes about four seconds with the pauses beside it.
-    let losses = ground.seconds.map_or(LOSSES, |seconds| ((seconds / 4.0) as usize).max(2));
-    let schedule = schedule(ground.seed, losses);
-    let with = play(ground, &schedule, true)?;
-    let without = play(ground, &schedule, false)?;
-    let kills: Vec<&Step> =
-        schedule.steps.iter().filter(|step| matches!(step.fault, Fault::Kill { .. })).collect();
-    let at_once = |step: &&Step| kills.iter().filter(|other| (other.at_ms - step.at_ms).abs() < 1.0).count();
-    let mut figures = Figures::default();
+fn goodput(came: &Came) -> f64 {
+    came.told.succeeded.get() as f64 / came.told.tickets.get().max(1) as f64
+}
+
+/// The figures of one load, with copies and without.
+pub(super) fn told(figures: &mut Figures, with: &Came, without: &Came, goodput_least: Aim) {
     let none = Aim::AtMost(0.0);
     let tickets = with.told.tickets.get() as f64;
     figures.told("tickets", tickets);
     figures.told("repeats_elsewhere", with.told.elsewhere.get() as f64);
-    figures.put("machines_lost_with_disk", kills.len() as f64, Aim::AtLeast(losses as f64));
-    figures.put("most_lost_at_once", kills.iter().map(at_once).max().unwrap_or(0) as f64, Aim::AtLeast(2.0));
     figures.put("effects_twice", with.effects_twice as f64, none);
     figures.put("succeeded_then_other", with.other_after as f64, none);
+    // Where nobody who knows can be reached in time a repeat is told to come back: not a verdict, and nothing runs on it.
+    figures.told("dismissed_after_verdict", with.dismissed_after_verdict as f64);
     figures.put("verdicts_that_differ", with.verdicts_that_differ as f64, none);
-    figures.told("in_doubt_share", with.doubt as f64 / tickets.max(1.0));
+    figures.told("told_failed_share", with.doubt as f64 / tickets.max(1.0));
     figures.told("dismissed", with.told.dismissed.get() as f64);
+    figures.told("copies_low_s_worst", with.low_s_worst);
+    figures.told("round_trip_ms_median", with.round_trip_ms);
     figures.told("took_ms_median", with.told.took.borrow().at(0.5));
     figures.told("without_took_ms_median", without.told.took.borrow().at(0.5));
-    let goodput = |came: &Came| came.told.succeeded.get() as f64 / came.told.tickets.get().max(1) as f64;
-    figures.told("served", goodput(&with));
-    figures.told("without_served", goodput(&without));
-    figures.put("goodput_ratio", goodput(&with) / goodput(&without).max(1e-9), Aim::AtLeast(0.9));
-    figures.told("memory_peak_mb", with.peak_kb as f64 / 1024.0);
+    let added = with.told.took.borrow().at(0.5) - without.told.took.borrow().at(0.5);
+    figures.told("wait_added_ms_median", added);
+    figures.told("served", goodput(with));
+    figures.told("without_served", goodput(without));
+    figures.put("goodput_ratio", goodput(with) / goodput(without).max(1e-9), goodput_least);
+    figures.put("memory_peak_share", with.peak_kb as f64 / 1024.0 / MEMORY_MB, Aim::AtMost(1.0));
     figures.put("rules_broken", with.rules_broken as f64, none);
     figures.put("without_effects_twice", without.effects_twice as f64, Aim::AtLeast(1.0));
     figures.told("without_succeeded_then_other", without.other_after as f64);
+}
+
+pub fn run(ground: &Ground) -> Result<Figures, String> {
+    // A loss takes about four seconds with the pauses beside it.
+    let losses = ground.seconds.map_or(LOSSES, |seconds| ((seconds / 4.0) as usize).max(2));
+    let schedule = match &ground.schedule {
+        Some(file) => {
+            let text =
+                std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+            text.parse().map_err(|wrong| format!("{}: {wrong}", file.display()))?
+        }
+        None => schedule(ground.seed, losses),
+    };
+    if let Some(logs) = &ground.logs {
+        let file = logs.join("schedule.txt");
+        std::fs::write(&file, schedule.to_string())
+            .map_err(|error| format!("{}: {error}", file.display()))?;
+    }
+    let with = play(ground, &schedule, true, DEMAND)?;
+    let without = play(ground, &schedule, false, DEMAND)?;
+    let kills: Vec<&Step> =
+        schedule.steps.iter().filter(|step| matches!(step.fault, Fault::Kill { .. })).collect();
+    let at_once = |step: &&Step| kills.iter().filter(|other| (other.at_ms - step.at_ms).abs() < 1.0).count();
+    let mut figures = Figures::default();
+    figures.put("machines_lost_with_disk", kills.len() as f64, Aim::AtLeast(losses as f64));
+    figures.put("most_lost_at_once", kills.iter().map(at_once).max().unwrap_or(0) as f64, Aim::AtLeast(2.0));
+    told(&mut figures, &with, &without, Aim::AtLeast(0.9));
+    // Above what the cores do, with fewer losses.
+    let fewer = self::schedule(ground.seed ^ 0x0f, losses.min(LOSSES_OVER));
+    let (with, without) =
+        (play(ground, &fewer, true, DEMAND_OVER)?, play(ground, &fewer, false, DEMAND_OVER)?);
+    let mut over = Figures::default();
+    told(&mut over, &with, &without, Aim::AtLeast(0.9));
+    figures.phase("over", over);
     Ok(figures)
 }
--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -5,6 +5,7 @@
 mod client_restart;
 mod copies;
 mod copies_model;
+mod copies_rolling;
 mod group;
 mod group_model;
 mod pools;
@@ -170,7 +171,7 @@
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 7] = [
+const TRIALS: [(&str, &str, Run); 8] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -196,6 +197,11 @@
         "nine backends whose tickets have copies: machines lost with their disks, repeats elsewhere; and without copies",
         copies::run,
     ),
+    (
+        "copies-rolling",
+        "nine backends whose tickets have copies, all told to leave and started again in turn; and without copies",
+        copies_rolling::run,
+    ),
     (
         "copies-model",
         "simulated copies: machines lost with their disks, tries elsewhere; --members N --seeds N; and without copies",
--- a/crates/plovershelf-copies/src/copies.rs
+++ b/crates/plovershelf-copies/src/copies.rs
@@ -13,6 +13,13 @@
 //! this was all ([`Message::Told`]). A first that was it before goes on with new tickets at once; a new one waits for all
 //! members of the view. Then it settles what stands open:
 //!
+//! A holder that the group doubts would hold up each claim until the next view is without it. So the first passes it over and
+//! takes the next in order, as long as there are as many; a claim that hangs already is made anew in a further *round*, which
+//! its runner begins and never before it has given up the one before: of two rounds' holders one set at most confirms.
+//!
+//! A member that leaves holds nothing new (its weight is 0), stays in the view as a runner until what it runs has ended, and
+//! goes once all others say that what they are first of has all its copies ([`Copies::handed_on`]).
+//!
 //! | what the holders of before tell | what it comes to |
 //! | --- | --- |
 //! | an ending | that ending, copied anew |
@@ -62,6 +69,8 @@
     /// Who had to confirm the claim before anything was launched. Never changed by copies made later: that one of these has
     /// nothing proves that nothing was launched.
     pub holders: Vec<Id>,
+    /// How often its runner has begun anew with other holders; told along, so that what was said in an older one is known.
+    pub round: u32,
     pub ending: Option<Ending>,
     /// The view under which it ended, and 1 where that was settled after a change, 0 where its runner told it. Of two endings
     /// of one claim the later counts: an ending that all had is known to each later settling, so an older one that differs
@@ -78,6 +87,7 @@
         view: u64,
         ticket: Ticket,
         claim: Claim,
+        round: u32,
         keep_ms: u64,
     },
     /// From the first to the other holders.
@@ -86,11 +96,13 @@
         ticket: Ticket,
         record: Record,
     },
-    /// A holder to the runner: the claim stands here.
+    /// A holder to the runner: the claim stands here, and has to stand at all of these.
     Stands {
         view: u64,
         ticket: Ticket,
         claim: Claim,
+        round: u32,
+        holders: Vec<Id>,
     },
     /// The first to a runner: it is taken, or has ended.
     Taken {
@@ -161,6 +173,13 @@
         ticket: Ticket,
         claim: Claim,
     },
+    /// One that leaves to all others: may I go? Answered with `Go` once what the other is first of has all its copies.
+    MayGo {
+        view: u64,
+    },
+    Go {
+        view: u64,
+    },
 }
 
 impl Message {
@@ -181,6 +200,8 @@
             | Message::Keep { view, .. }
             | Message::Kept { view, .. }
             | Message::HeardAll { view }
+            | Message::MayGo { view }
+            | Message::Go { view }
             | Message::Still { view, .. } => *view,
         }
     }
@@ -231,6 +252,8 @@
     Ended(u64, Ending),
     /// The ending stands on all copies: answer with it. It may be another than the run's own.
     Answer(u64, Ending),
+    /// It stands on `least` of them, and others are slow or gone: what there is to answer with if the due time comes first.
+    Enough(u64, Ending),
     /// Nothing can be promised now: dismiss it, nothing was launched.
     Refuse(u64),
 }
@@ -252,6 +275,10 @@
     due: f64,
     keep_ms: f64,
     again_at: f64,
+    /// Its round, and the holders that it was told of, under which view.
+    round: u32,
+    stood: (u64, Vec<Id>),
+    enough_told: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -259,6 +286,7 @@
     claim: Claim,
     order: Order,
     holders: Vec<Id>,
+    round: u32,
     ending: Option<Ending>,
     ended: (u64, u8),
     until: f64,
@@ -311,6 +339,11 @@
     goes_on: bool,
     due: BTreeSet<(u64, Due, Ticket)>,
     last_order: u64,
+    /// Members that may be gone, as the group says; they are passed over where others can hold instead.
+    doubted: BTreeSet<Id>,
+    /// This member leaves: who has let it go.
+    leaving: Option<BTreeSet<Id>>,
+    may_go_at: f64,
     tell_from: f64,
     tell_again_at: f64,
     last_number: u64,
@@ -352,6 +385,9 @@
             goes_on: false,
             due: BTreeSet::new(),
             last_order: 0,
+            doubted: BTreeSet::new(),
+            leaving: None,
+            may_go_at: f64::INFINITY,
             tell_from: now,
             tell_again_at: now,
             last_number: 0,
@@ -384,13 +420,44 @@
     pub fn settled(&self) -> bool {
         self.gathering.done
     }
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+    /// This backend's own: asked for, waiting, running, being ended.
+    pub fn own_counts(&self) -> [u64; 4] {
+        let mut counts = [0; 4];
+        for own in self.own.values() {
+            let place = match own.stage {
+                Stage::Asking { .. } => 0,
+                Stage::Waiting => 1,
+                Stage::Running => 2,
+                Stage::Ending { .. } => 3,
+            };
+            counts[place] += 1;
+        }
+        counts
+    }
+    /// Where a ticket's copies lie by the view, the first at the front.
+    pub fn placed(&self, ticket: Ticket) -> Vec<Id> {
+        self.holders(ticket)
+    }
+    /// What is held of a ticket here: who runs or ran it, its holders at the claim, how it ended, how long it is kept.
+    pub fn look_up(&self, ticket: Ticket) -> Option<Record> {
+        self.record(ticket)
+    }
+    /// One that leaves: whether all it ran has ended and all others have said that their copies stand without it.
+    pub fn handed_on(&self) -> bool {
+        let others = || self.members.iter().filter(|holder| holder.id != self.me);
+        self.own.is_empty()
+            && self.leaving.as_ref().is_some_and(|gone| others().all(|holder| gone.contains(&holder.id)))
+    }
 
     pub fn next_at(&self) -> f64 {
         let own = self.own.values().map(|own| own.again_at.min(own.due)).fold(f64::INFINITY, f64::min);
         let tell = if self.telling.is_empty() { f64::INFINITY } else { self.tell_from };
         let again = if self.unheard.is_empty() { f64::INFINITY } else { self.tell_again_at };
         let held = self.due.first().map_or(f64::INFINITY, |(at, ..)| f64::from_bits(*at));
-        own.min(tell).min(again).min(held).max(self.now + 1.0)
+        own.min(tell).min(again).min(held).min(self.may_go_at).max(self.now + 1.0)
     }
 
     pub fn take(&mut self) -> (Vec<(Id, Message)>, Vec<Told>) {
@@ -413,6 +480,9 @@
             due,
             keep_ms,
             again_at: now,
+            round: 0,
+            stood: (0, Vec::new()),
+            enough_told: false,
         };
         self.own.insert(number, own);
         self.numbers.entry(ticket).or_default().insert(number);
@@ -453,6 +523,25 @@
         }
     }
 
+    /// This member leaves: it asks all others whether their copies stand without it.
+    pub fn leave(&mut self, now: f64) {
+        self.now = now;
+        self.leaving.get_or_insert_default();
+        self.may_go_at = now;
+    }
+
+    /// These may be gone; claims that hang on one of them are made anew with others.
+    pub fn doubts(&mut self, now: f64, doubted: BTreeSet<Id>) {
+        self.now = now;
+        if doubted == self.doubted {
+            return;
+        }
+        self.doubted = doubted;
+        let hang = |own: &Own| matches!(own.stage, Stage::Asking { .. });
+        let pressed: Vec<u64> = self.own.iter().filter(|(_, own)| hang(own)).map(|(n, _)| *n).collect();
+        pressed.into_iter().for_each(|number| self.press(number));
+    }
+
     // ---- what happens to it ------------------------------------------------------------------------
 
     /// A view was agreed on. Older ones are left unread.
@@ -477,6 +566,10 @@
             }
         }
         self.unheard = self.members.iter().map(|holder| holder.id).filter(|id| *id != self.me).collect();
+        if let Some(gone) = self.leaving.as_mut() {
+            gone.clear();
+            self.may_go_at = now;
+        }
         self.gathered_own();
         self.tell_all();
         let pressed: Vec<u64> = self.own.keys().copied().collect();
@@ -505,6 +598,27 @@
             self.tell_all();
         }
         self.holders_due();
+        if self.may_go_at <= now {
+            self.ask_to_go();
+        }
+    }
+
+    fn ask_to_go(&mut self) {
+        self.may_go_at = self.now + 2.0 * self.terms.again_ms;
+        let (view, me) = (self.view, self.me);
+        let Some(gone) = &self.leaving else { return };
+        let others: Vec<Id> =
+            self.members.iter().map(|h| h.id).filter(|id| *id != me && !gone.contains(id)).collect();
+        others.into_iter().for_each(|id| self.say(id, Message::MayGo { view }));
+    }
+
+    /// What this one is first of has all its copies, and none of them is to be with the one that asks.
+    fn asked_to_go(&mut self, from: Id) {
+        let holds = self.members.iter().any(|holder| holder.id == from && holder.weight > 0.0);
+        if !holds && self.gathering.done && self.unheard.is_empty() && self.low() == 0 {
+            let view = self.view;
+            self.say(from, Message::Go { view });
+        }
     }
 
     fn holders_due(&mut self) {
@@ -552,9 +666,13 @@
             return;
         }
         match message {
-            Message::Claim { ticket, claim, keep_ms, .. } => self.claimed(from, ticket, claim, keep_ms),
+            Message::Claim { ticket, claim, round, keep_ms, .. } => {
+                self.claimed(from, ticket, claim, round, keep_ms)
+            }
             Message::Copy { ticket, record, .. } => self.copied(from, ticket, record),
-            Message::Stands { ticket, claim, .. } => self.stands(from, ticket, claim),
+            Message::Stands { ticket, claim, round, holders, .. } => {
+                self.stands(from, ticket, claim, round, holders)
+            }
             Message::Taken { ticket, claim, ending, .. } => self.taken(from, ticket, claim, ending),
             Message::Free { ticket, .. } => self.free(from, ticket),
             Message::End { ticket, claim, ending, keep_ms, .. } => {
@@ -591,6 +709,12 @@
                 }
             }
             Message::HeardAll { .. } => drop(self.unheard.remove(&from)),
+            Message::MayGo { .. } => self.asked_to_go(from),
+            Message::Go { .. } => {
+                if let Some(gone) = self.leaving.as_mut() {
+                    gone.insert(from);
+                }
+            }
             Message::Still { ticket, claim, .. } => {
                 if claim.runner == self.me && self.numbered(ticket, claim).is_none() {
                     self.say(from, Message::GiveBack { view, ticket, claim });
@@ -609,22 +733,64 @@
         self.holders(ticket).first().copied()
     }
 
+    /// Whom its first has hold a ticket now: those that are doubted are passed over where as many others are there.
+    fn holders_now(&self, ticket: Ticket) -> Vec<Id> {
+        let placed = self.holders(ticket);
+        if !placed.iter().any(|id| *id != self.me && self.doubted.contains(id)) {
+            return placed;
+        }
+        let sure = |holder: &&Holder| holder.id == self.me || !self.doubted.contains(&holder.id);
+        let others: Vec<Holder> = self.members.iter().filter(sure).cloned().collect();
+        let instead = place(ticket, &others, self.terms.copies);
+        if instead.len() == placed.len() {
+            instead
+        } else {
+            placed
+        }
+    }
+
+    /// Who has to confirm what its runner says of an invocation: those that its claim stands at, while the view is the same.
+    fn holders_of(&self, own: &Own) -> Vec<Id> {
+        if own.stood.0 == self.view {
+            own.stood.1.clone()
+        } else {
+            self.holders(own.ticket)
+        }
+    }
+
     /// Says what has to be said for an invocation of this backend, again where it is not confirmed.
     fn press(&mut self, number: u64) {
         let (view, again_ms, now) = (self.view, self.terms.again_ms, self.now);
+        let least = self.terms.least;
         let Some(own) = self.own.get_mut(&number) else { return };
         own.again_at = now + again_ms;
+        // It is said again, as some are slow or gone; those that have it may be enough, if the time ends.
+        if let Stage::Ending { ending, stands } = &own.stage {
+            if stands.len() >= least && !std::mem::replace(&mut own.enough_told, true) {
+                self.out.push(Told::Enough(number, ending.clone()));
+            }
+        }
+        // A claim that hangs on one that may be gone is given up for one with other holders; what was confirmed counts no more.
+        if let Stage::Asking { stands } = &mut own.stage {
+            let hangs = |id: &Id| self.doubted.contains(id) && !stands.contains(id);
+            if own.stood.0 == view && own.stood.1.iter().any(hangs) {
+                (own.round, own.stood) = (own.round + 1, (0, Vec::new()));
+                stands.clear();
+            }
+        }
         let (ticket, claim, keep_ms) = (own.ticket, own.claim, own.keep_ms as u64);
+        let round = own.round;
         let claim_ms = (own.due - now).max(0.0) as u64 + self.terms.claim_slack_ms as u64;
         match own.stage.clone() {
             Stage::Asking { .. } | Stage::Waiting => {
                 if let Some(first) = self.first(ticket) {
-                    self.say(first, Message::Claim { view, ticket, claim, keep_ms: claim_ms });
+                    self.say(first, Message::Claim { view, ticket, claim, round, keep_ms: claim_ms });
                 }
             }
             Stage::Running => {}
             Stage::Ending { ending, stands } => {
-                for holder in self.holders(ticket) {
+                let holders = self.own.get(&number).map_or(Vec::new(), |own| self.holders_of(own));
+                for holder in holders {
                     if !stands.contains(&holder) {
                         let ending = ending.clone();
                         self.say(holder, Message::End { view, ticket, claim, ending, keep_ms });
@@ -639,10 +805,15 @@
         (claim.runner == self.me && own.ticket == ticket && own.claim == claim).then_some(claim.number)
     }
 
-    fn stands(&mut self, from: Id, ticket: Ticket, claim: Claim) {
-        let holders = self.holders(ticket);
-        let Some(number) = self.numbered(ticket, claim).filter(|_| holders.contains(&from)) else { return };
+    fn stands(&mut self, from: Id, ticket: Ticket, claim: Claim, round: u32, holders: Vec<Id>) {
+        let fits = holders.contains(&from) && holders.first() == self.first(ticket).as_ref();
+        let Some(number) = self.numbered(ticket, claim).filter(|_| fits) else { return };
+        let view = self.view;
         let Some(own) = self.own.get_mut(&number) else { return };
+        if round != own.round || matches!(own.stage, Stage::Running | Stage::Ending { .. }) {
+            return;
+        }
+        own.stood = (view, holders.clone());
         // It came free, and the word of that was lost: the claim was taken when it was said again.
         if own.stage == Stage::Waiting {
             own.stage = Stage::Asking { stands: BTreeSet::new() };
@@ -688,9 +859,9 @@
     }
 
     fn end_stands(&mut self, from: Id, ticket: Ticket, claim: Claim, told: Ending) {
-        let holders = self.holders(ticket);
-        let Some(number) = self.numbered(ticket, claim).filter(|_| holders.contains(&from)) else { return };
-        let Some(own) = self.own.get_mut(&number) else { return };
+        let Some(number) = self.numbered(ticket, claim) else { return };
+        let holders = self.own.get(&number).map_or(Vec::new(), |own| self.holders_of(own));
+        let Some(own) = self.own.get_mut(&number).filter(|_| holders.contains(&from)) else { return };
         match &mut own.stage {
             Stage::Ending { ending, stands } => {
                 if *ending != told {
@@ -724,8 +895,12 @@
         let (ticket, claim, view) = (own.ticket, own.claim, self.view);
         match own.stage {
             Stage::Asking { .. } | Stage::Waiting => {
+                let mut holders = self.holders(ticket);
+                holders.extend(self.holders_of(own));
+                holders.sort();
+                holders.dedup();
                 self.finish(number, Told::Refuse(number));
-                for holder in self.holders(ticket) {
+                for holder in holders {
                     self.say(holder, Message::GiveBack { view, ticket, claim });
                 }
             }
@@ -751,22 +926,23 @@
     // ---- the holder's side ---------------------------------------------------------------------------
 
     /// The first orders claims. One that is new to its place waits until it knows what there was.
-    fn claimed(&mut self, from: Id, ticket: Ticket, claim: Claim, keep_ms: u64) {
+    fn claimed(&mut self, from: Id, ticket: Ticket, claim: Claim, round: u32, keep_ms: u64) {
         if self.first(ticket) != Some(self.me) || claim.runner != from || !self.may_order(ticket) {
             return;
         }
         let view = self.view;
-        let holders = self.holders(ticket);
+        let holders = self.holders_now(ticket);
         match self.held.get_mut(&ticket) {
             Some(held)
                 if held.claim.runner == claim.runner
                     && held.claim.number == claim.number
                     && held.ending.is_none() =>
             {
-                // Its own claim once more, perhaps under a new view.
-                if held.order.0 != view {
+                // Its own claim once more, perhaps under a new view or in a further round.
+                if held.order.0 != view || round > held.round {
                     self.last_order += 1;
                     (held.order, held.holders) = ((view, self.last_order), holders);
+                    held.round = held.round.max(round);
                 }
                 self.pass_on(ticket);
             }
@@ -789,7 +965,7 @@
             None => {
                 self.last_order += 1;
                 let order = (view, self.last_order);
-                let record = Record { claim, order, holders, ending: None, ended: (0, 0), keep_ms };
+                let record = Record { claim, order, holders, round, ending: None, ended: (0, 0), keep_ms };
                 // What has no room here is not confirmed, so it is not launched.
                 if self.note(ticket, record) {
                     self.pass_on(ticket);
@@ -802,10 +978,11 @@
     fn pass_on(&mut self, ticket: Ticket) {
         let (view, me) = (self.view, self.me);
         let Some(record) = self.record(ticket) else { return };
-        let (runner, claim) = (record.claim.runner, record.claim);
+        let (runner, claim, round) = (record.claim.runner, record.claim, record.round);
         for holder in record.holders.clone() {
             if holder == me {
-                self.say(runner, Message::Stands { view, ticket, claim });
+                let holders = record.holders.clone();
+                self.say(runner, Message::Stands { view, ticket, claim, round, holders });
             } else {
                 self.say(holder, Message::Copy { view, ticket, record: record.clone() });
             }
@@ -817,8 +994,14 @@
             return;
         }
         let (view, claim) = (self.view, record.claim);
-        if self.note(ticket, record) && self.held.get(&ticket).is_some_and(|held| held.claim == claim) {
-            self.say(claim.runner, Message::Stands { view, ticket, claim });
+        if !self.note(ticket, record) {
+            return;
+        }
+        // What stands here is told: that may be a later round already.
+        if let Some(held) = self.held.get(&ticket).filter(|held| held.claim == claim && held.order.0 == view)
+        {
+            let (round, holders) = (held.round, held.holders.clone());
+            self.say(claim.runner, Message::Stands { view, ticket, claim, round, holders });
         }
     }
 
@@ -831,7 +1014,7 @@
                 if newer(new, (held.order, held.ending.is_some(), held.ended)) {
                     self.held_bytes = self.held_bytes + bytes(&record.ending) - bytes(&held.ending);
                     (held.claim, held.order, held.holders) = (record.claim, record.order, record.holders);
-                    (held.ending, held.ended) = (record.ending, record.ended);
+                    (held.round, held.ending, held.ended) = (record.round, record.ending, record.ended);
                 }
                 held.until = held.until.max(until);
             }
@@ -846,6 +1029,7 @@
                     claim: record.claim,
                     order: record.order,
                     holders: record.holders,
+                    round: record.round,
                     ending: record.ending,
                     ended: record.ended,
                     until,
@@ -863,13 +1047,15 @@
     fn record(&self, ticket: Ticket) -> Option<Record> {
         let held = self.held.get(&ticket)?;
         let keep_ms = (held.until - self.now).max(0.0) as u64;
-        let (claim, order, holders) = (held.claim, held.order, held.holders.clone());
-        Some(Record { claim, order, holders, ending: held.ending.clone(), ended: held.ended, keep_ms })
+        let (claim, order, holders, round) = (held.claim, held.order, held.holders.clone(), held.round);
+        Some(Record { claim, order, holders, round, ending: held.ending.clone(), ended: held.ended, keep_ms })
     }
 
     fn end(&mut self, from: Id, ticket: Ticket, claim: Claim, ending: Ending, keep_ms: u64) {
         let (view, now) = (self.view, self.now);
-        if claim.runner != from || !self.holders(ticket).contains(&self.me) {
+        let placed = self.holders(ticket).contains(&self.me);
+        let named = self.held.get(&ticket).is_some_and(|held| held.holders.contains(&self.me));
+        if claim.runner != from || !(placed || named) {
             return;
         }
         let blank = broken::is(Broken::BlankConfirms);
--- a/crates/plovershelf-copies/src/placement.rs
+++ b/crates/plovershelf-copies/src/placement.rs
@@ -28,7 +28,7 @@
     value ^ value >> 33
 }
 
-/// One that may hold copies.
+/// One that may hold copies. A weight of 0 holds none: it leaves, and only runs what it has begun.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
     pub id: Id,
@@ -42,13 +42,13 @@
     let folded = (ticket.0 >> 64) as u64 ^ (ticket.0 as u64).rotate_left(17);
     let hash = mixed(folded ^ mixed(holder.id.0));
     let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    -holder.weight.max(1e-9) / unit.ln()
+    -holder.weight / unit.ln()
 }
 
 /// Who holds it, the first at the front: the highest draws, first one of each zone, then more.
 pub fn place(ticket: Ticket, holders: &[Holder], copies: usize) -> Vec<Id> {
-    let mut drawn: Vec<(f64, &Holder)> =
-        holders.iter().map(|holder| (draw(ticket, holder), holder)).collect();
+    let able = holders.iter().filter(|holder| holder.weight > 0.0);
+    let mut drawn: Vec<(f64, &Holder)> = able.map(|holder| (draw(ticket, holder), holder)).collect();
     drawn.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.id.cmp(&b.1.id)));
     let mut chosen: Vec<&Holder> = Vec::with_capacity(copies);
     for fresh_zone in [true, false] {
--- a/crates/plovershelf-copies/tests/broken.rs
+++ b/crates/plovershelf-copies/tests/broken.rs
@@ -15,7 +15,7 @@
 fn caught(broken: Broken, tries: [usize; 2], crashes: u8) {
     let holders = holders(3, 3);
     let tries = tries.iter().map(|place| holders[*place]).collect();
-    let left = Left { crashes, doubles: 0, breaks: 0, gives_up: 0 };
+    let left = Left { crashes, doubles: 0, breaks: 0, gives_up: 0, doubts: 0 };
     set(Some(broken));
     let checker = Tickets { members: 3, copies: 3, tries, left }.checker().threads(4).spawn_bfs().join();
     set(None);
--- a/crates/plovershelf-copies/tests/checker.rs
+++ b/crates/plovershelf-copies/tests/checker.rs
@@ -6,7 +6,7 @@
 use stateright::{Checker, Model};
 use walk::{holders, Left, Tickets};
 
-const NOTHING: Left = Left { crashes: 0, doubles: 0, breaks: 0, gives_up: 0 };
+const NOTHING: Left = Left { crashes: 0, doubles: 0, breaks: 0, gives_up: 0, doubts: 0 };
 
 /// All states of three members that hold three copies.
 fn complete(what: &str, tries: [usize; 2], left: Left) {
@@ -40,6 +40,24 @@
     complete("two lost", [1, 2], Left { crashes: 2, ..NOTHING });
 }
 
+/// Of four members that hold three copies one doubts another, rightly or not, before or while a machine is lost: claims are made
+/// anew with the fourth.
+#[test]
+fn a_holder_passed_over_while_a_machine_is_lost() {
+    let four = |tries: &[usize], left: Left, most: usize| {
+        let placed = holders(4, 3);
+        let tries = tries.iter().map(|place| placed[*place]).collect();
+        let model = Tickets { members: 4, copies: 3, tries, left };
+        let checker = model.checker().threads(4).target_state_count(most).spawn_dfs().join();
+        checker.assert_no_discovery("no effect twice");
+        checker.assert_no_discovery("one verdict for all");
+        println!("a doubt, {left:?}: {} states", checker.unique_state_count());
+    };
+    four(&[1], Left { doubts: 1, ..NOTHING }, usize::MAX);
+    four(&[1], Left { doubts: 2, crashes: 1, ..NOTHING }, 400_000);
+    four(&[0, 1], Left { doubts: 1, crashes: 1, ..NOTHING }, 400_000);
+}
+
 /// Five members, of whom three hold copies: too many states to walk all of them in a test, so the first million.
 #[test]
 #[ignore = "takes a minute; its size stands in docs/copies.md"]
--- a/crates/plovershelf-copies/tests/hard_cases.rs
+++ b/crates/plovershelf-copies/tests/hard_cases.rs
@@ -209,7 +209,7 @@
     let mut some = Members::of(3, Terms::default());
     some.view(2);
     let claim = Claim { runner: Id(2), number: 1 };
-    let stale = Message::Claim { view: 1, ticket: ticket(1), claim, keep_ms: 1000 };
+    let stale = Message::Claim { view: 1, ticket: ticket(1), claim, round: 0, keep_ms: 1000 };
     for copies in some.all.iter_mut().flatten() {
         copies.hear(1.0, Id(2), stale.clone());
         assert_eq!(copies.held_count(), 0);
@@ -219,6 +219,7 @@
         claim,
         order: (2, 1),
         holders: vec![Id(1), Id(2), Id(3)],
+        round: 0,
         ending: None,
         ended: (0, 0),
         keep_ms: 100,
@@ -233,6 +234,89 @@
     assert!(some.all.iter().flatten().all(|copies| copies.held_count() == 0));
 }
 
+/// One of the holders is gone, and the group doubts it: its place is taken by another, also where the claim hangs already; what
+/// that one holds counts as any other's.
+#[test]
+fn a_holder_that_may_be_gone_is_passed_over_before_the_view_changes() {
+    let mut some = Members::of(9, Terms::default());
+    let all: Vec<u64> = (1..=9).collect();
+    let placed = place(ticket(3), &holders(&all), 3);
+    let (first, gone) = (placed[0].0 as usize - 1, placed[2]);
+    some.all[gone.0 as usize - 1] = None;
+    let runner = (0..9).find(|m| !placed.contains(&Id(*m as u64 + 1))).expect("six others");
+    let number = some.begin(runner, ticket(3));
+    some.pass(200.0);
+    assert_eq!(some.told(), [], "it hangs on the one that is gone");
+    let doubted = std::collections::BTreeSet::from([gone]);
+    let now = some.now;
+    some.all.iter_mut().flatten().for_each(|copies| copies.doubts(now, doubted.clone()));
+    some.settle();
+    assert_eq!(some.told(), [(runner, Told::Launch(number))]);
+    let stands = some.all.iter().flatten().filter(|copies| copies.find(ticket(3)).is_some()).count();
+    assert_eq!(stands, 3);
+    // Runner and first are lost at once, before it ended: of the three copies one is left, and the run is in doubt everywhere.
+    some.all[runner] = None;
+    some.all[first] = None;
+    some.view(2);
+    some.pass(500.0);
+    let asks = (0..9).find(|m| some.all[*m].is_some()).expect("six live");
+    let repeat = some.begin(asks, ticket(3));
+    some.pass(300.0);
+    assert_eq!(some.told(), [(asks, Told::Ended(repeat, Ending::InDoubt))]);
+}
+
+/// Three members, one of them doubted: there is no fourth to hold instead, so nothing is launched on two copies.
+#[test]
+fn a_doubted_holder_is_not_passed_over_where_nobody_can_hold_instead() {
+    let mut some = Members::of(3, Terms::default());
+    let placed = place(ticket(3), &holders(&[1, 2, 3]), 3);
+    some.all[placed[2].0 as usize - 1] = None;
+    let now = some.now;
+    for copies in some.all.iter_mut().flatten() {
+        copies.doubts(now, std::collections::BTreeSet::from([placed[2]]));
+    }
+    some.begin(placed[0].0 as usize - 1, ticket(3));
+    some.pass(500.0);
+    assert_eq!(some.told(), []);
+}
+
+/// One that leaves goes on as a runner until its run has ended, then hands on all that it held, and goes; nothing is in doubt.
+#[test]
+fn one_that_leaves_ends_what_it_runs_and_hands_on_what_it_holds() {
+    let mut some = Members::of(9, Terms::default());
+    let leaves = 4usize;
+    for n in 0..30 {
+        let number = some.begin(n as usize % 9, ticket(n));
+        some.ended(n as usize % 9, number, well());
+    }
+    let runs = some.begin(leaves, ticket(100));
+    some.told();
+    let now = some.now;
+    let view: Vec<Holder> = holders(&(1..=9).collect::<Vec<_>>())
+        .into_iter()
+        .map(|holder| Holder { weight: if holder.id == Id(5) { 0.0 } else { 1.0 }, ..holder })
+        .collect();
+    some.all.iter_mut().flatten().for_each(|copies| copies.view_is(now, 2, view.clone()));
+    some.all[leaves].as_mut().expect("it lives").leave(now);
+    some.settle();
+    some.pass(1000.0);
+    assert!(!some.all[leaves].as_ref().expect("it lives").handed_on(), "its run has not ended");
+    some.ended(leaves, runs, well());
+    some.pass(1000.0);
+    assert_eq!(some.told(), [(leaves, Told::Answer(runs, well()))]);
+    assert!(some.all[leaves].as_ref().expect("it lives").handed_on());
+    for n in (0..30).chain([100]) {
+        let copies = some.all.iter().flatten().enumerate();
+        let held = copies.filter(|(m, copies)| *m != leaves && copies.find(ticket(n)).is_some()).count();
+        assert!(held >= 3, "ticket {n} stands {held} times");
+    }
+    some.all[leaves] = None;
+    some.view(3);
+    some.pass(500.0);
+    let repeat = some.begin(0, ticket(100));
+    assert_eq!(some.told(), [(0, Told::Ended(repeat, well()))]);
+}
+
 fn endings() -> impl Strategy<Value = Ending> {
     prop_oneof![Just(Ending::Failed), Just(Ending::InDoubt), Just(Ending::Succeeded(vec![7]))]
 }
@@ -252,15 +336,16 @@
             claim,
             order: (view, place),
             holders,
+            round: place as u32 % 2,
             ending,
             ended: (view, 0),
             keep_ms: 50,
         });
     let base = (views, tickets, claims, records, endings(), 0u64..4);
-    (base, 0usize..14).prop_map(|((view, ticket, claim, record, ending, count), kind)| match kind {
-        0 => Message::Claim { view, ticket, claim, keep_ms: 10 },
+    (base, 0usize..16).prop_map(|((view, ticket, claim, record, ending, count), kind)| match kind {
+        0 => Message::Claim { view, ticket, claim, round: count as u32 % 3, keep_ms: 10 },
         1 => Message::Copy { view, ticket, record },
-        2 => Message::Stands { view, ticket, claim },
+        2 => Message::Stands { view, ticket, claim, round: count as u32 % 3, holders: record.holders },
         3 => Message::Taken { view, ticket, claim, ending: record.ending },
         4 => Message::Free { view, ticket },
         5 => Message::End { view, ticket, claim, ending, keep_ms: 10 },
@@ -271,6 +356,8 @@
         10 => Message::Keep { view, records: vec![(ticket, record)] },
         11 => Message::Kept { view, tickets: vec![ticket] },
         12 => Message::HeardAll { view },
+        13 => Message::MayGo { view },
+        14 => Message::Go { view },
         _ => Message::Still { view, ticket, claim },
     })
 }
--- a/crates/plovershelf-copies/tests/walk/mod.rs
+++ b/crates/plovershelf-copies/tests/walk/mod.rs
@@ -1,7 +1,7 @@
 //! One ticket over a few members as a model that a checker walks through: tries at several backends, each order of messages,
 //! members that crash with all they hold, views that come late, links that break, messages that come twice.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
@@ -19,6 +19,8 @@
     pub breaks: u8,
     /// Callers that give up before anything is launched.
     pub gives_up: u8,
+    /// Members that come to doubt another, whether it is gone or not.
+    pub doubts: u8,
 }
 
 pub struct Tickets {
@@ -79,6 +81,8 @@
     View(usize),
     RunEnds(usize),
     GivesUp(usize, u64),
+    /// One doubts another.
+    Doubt(usize, usize),
 }
 
 fn id(member: usize) -> Id {
@@ -115,7 +119,7 @@
                     world.running.push((member, number));
                 }
                 Told::Ended(_, ending) | Told::Answer(_, ending) => world.told.push(ending),
-                Told::Refuse(_) => {}
+                Told::Refuse(_) | Told::Enough(..) => {}
             }
         }
         world.under_way.retain(|(_, to), link| !link.is_empty() && *to < self.members);
@@ -189,6 +193,13 @@
         for place in 0..world.running.len() {
             steps.push(Step::RunEnds(place));
         }
+        if world.left.doubts > 0 {
+            let pairs = (0..self.members).flat_map(|one| (0..self.members).map(move |other| (one, other)));
+            let live = |one: &usize| world.members[*one].is_some();
+            steps.extend(
+                pairs.filter(|(one, other)| one != other && live(one)).map(|(a, b)| Step::Doubt(a, b)),
+            );
+        }
         if world.left.gives_up > 0 {
             for (place, member) in self.tries.iter().enumerate() {
                 if world.begun[place] && world.members[*member].is_some() {
@@ -242,6 +253,11 @@
                 world.members[member].as_mut()?.ended(0.0, number, ending);
                 member
             }
+            Step::Doubt(member, of) => {
+                world.left.doubts -= 1;
+                world.members[member].as_mut()?.doubts(0.0, BTreeSet::from([id(of)]));
+                member
+            }
             Step::GivesUp(member, number) => {
                 world.left.gives_up -= 1;
                 world.members[member].as_mut()?.given_up(0.0, number);
@@ -279,7 +295,7 @@
         members,
         copies,
         tries: vec![],
-        left: Left { crashes: 0, doubles: 0, breaks: 0, gives_up: 0 },
+        left: Left { crashes: 0, doubles: 0, breaks: 0, gives_up: 0, doubts: 0 },
     };
     place(TICKET, &all.view(&[]), copies).into_iter().map(|id| id.0 as usize - 1).collect()
 }
--- a/crates/plovershelf-group/src/decided.rs
+++ b/crates/plovershelf-group/src/decided.rs
@@ -18,6 +18,10 @@
     pub zone: String,
     pub region: String,
     pub address: SocketAddr,
+    /// It belongs still and is about to go: nothing new is given to it.
+    pub leaving: bool,
+    /// Of which start of its process; see [`News::life`](crate::members::News::life).
+    pub life: u64,
 }
 
 /// Who belongs. Numbers go up by one, without gaps.
@@ -44,8 +48,17 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Decision {
-    View { number: u64, joined: Vec<(Id, Seat)>, left: Vec<Id> },
-    Word { key: String, number: u64, bytes: Vec<u8> },
+    /// Whoever is named among the joined and was there has a new seat.
+    View {
+        number: u64,
+        joined: Vec<(Id, Seat)>,
+        left: Vec<Id>,
+    },
+    Word {
+        key: String,
+        number: u64,
+        bytes: Vec<u8>,
+    },
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -83,9 +96,10 @@
         let names = |(id, seat): &(Id, Seat)| (*id, seat.name.clone());
         let gone: Vec<(Id, String)> =
             left.iter().filter_map(|id| Some((*id, self.view.members.remove(id)?.name))).collect();
+        let new = joined.iter().filter(|(id, _)| !self.view.members.contains_key(id)).map(names).collect();
         self.view.members.extend(joined.iter().cloned());
         self.view.number = number;
-        self.steps.push_back(Step { number, joined: joined.iter().map(names).collect(), left: gone });
+        self.steps.push_back(Step { number, joined: new, left: gone });
         if self.steps.len() > STEPS_KEPT {
             self.steps.pop_front();
         }
--- a/crates/plovershelf-group/src/group.rs
+++ b/crates/plovershelf-group/src/group.rs
@@ -23,7 +23,7 @@
 use crate::members::{self, About, Condition, Members, Whereto};
 
 /// Major and minor of what members say to each other.
-pub const VERSION: (u16, u16) = (1, 0);
+pub const VERSION: (u16, u16) = (2, 0);
 
 /// Spans in milliseconds, counts.
 #[derive(Clone, Debug, PartialEq)]
@@ -435,6 +435,22 @@
         self.members.fit(now, fit);
     }
 
+    /// This member is about to go: the next view has it as leaving, so that nothing new is given to it while it hands on.
+    pub fn drain(&mut self, now: f64) {
+        self.now = self.now.max(now);
+        self.members.leaving(now);
+        self.gather();
+    }
+
+    /// Members of the view that may be gone, as far as this one hears.
+    pub fn doubted(&self) -> BTreeSet<Id> {
+        let gone = |id: &&Id| {
+            let found = self.members.find(**id);
+            found.is_some_and(|news| news.condition != Condition::Alive)
+        };
+        self.view().members.keys().filter(gone).copied().collect()
+    }
+
     /// This member goes for good: it says so, and acts no longer.
     pub fn leave(&mut self, now: f64) {
         self.now = self.now.max(now);
@@ -501,7 +517,7 @@
             let found = self.members.alive().find(|news| news.about.name == *name && blank(news.about.id));
             let Some(news) = found else { return };
             voters.insert(news.about.id);
-            seats.insert(news.about.id, seat(&news.about));
+            seats.insert(news.about.id, seat(news));
         }
         if self.headings.values().any(|heading| heading.era != 0) {
             return;
@@ -647,6 +663,12 @@
         for id in known.union(&in_view) {
             let wanted = self.wanted_in_view(*id);
             if wanted == in_view.contains(id) {
+                // That it is about to go, or was started anew, it says itself and never takes back: that needs no second look.
+                let old = self.view().members.get(id).map(|seat| (seat.leaving, seat.life));
+                let new = |news: &&members::News| old.is_some_and(|old| old != (news.leaving, news.life));
+                if let Some(news) = self.members.find(*id).filter(new) {
+                    joined.push((*id, seat(news)));
+                }
                 continue;
             }
             let since = self.differs.get(id).copied().unwrap_or(self.now);
@@ -658,7 +680,7 @@
                 left.push(*id);
             }
             if let Some(news) = self.members.find(*id).filter(|_| wanted) {
-                joined.push((*id, seat(&news.about)));
+                joined.push((*id, seat(news)));
             }
         }
         self.differs = differs;
@@ -777,7 +799,10 @@
         };
         let free = view.members.iter().filter(|(id, _)| {
             !voters.contains(id)
-                && self.members.find(**id).is_some_and(|n| n.condition == Condition::Alive && n.fit)
+                && self
+                    .members
+                    .find(**id)
+                    .is_some_and(|n| n.condition == Condition::Alive && n.fit && !n.leaving)
         });
         free.min_by_key(|(id, seat)| {
             let born = self.members.find(**id).map_or(0, |news| news.about.born);
@@ -1077,8 +1102,11 @@
     }
 }
 
-fn seat(about: &About) -> Seat {
+fn seat(news: &members::News) -> Seat {
+    let about = &news.about;
     Seat {
+        leaving: news.leaving,
+        life: news.life,
         name: about.name.clone(),
         zone: about.zone.clone(),
         region: about.region.clone(),
--- a/crates/plovershelf-group/src/members.rs
+++ b/crates/plovershelf-group/src/members.rs
@@ -52,6 +52,10 @@
     pub stand: u32,
     /// It does its work, not only answers probes.
     pub fit: bool,
+    /// It is about to go, and hands on what it holds.
+    pub leaving: bool,
+    /// Drawn at each start: what was held in the process alone is gone with the life before, though the folder is kept.
+    pub life: u64,
     pub condition: Condition,
     /// Who suspects it first.
     pub by: Id,
@@ -192,8 +196,10 @@
     pub fn new(about: About, terms: Terms, seeds: Vec<SocketAddr>, seed: u64, now: f64) -> Self {
         let by = about.id;
         let mut chance = Pcg32::seed_from_u64(seed);
-        let me = News { about, stand: 1, fit: true, condition: Condition::Alive, by };
+        let mut me =
+            News { about, stand: 1, fit: true, leaving: false, life: 0, condition: Condition::Alive, by };
         let first = chance.random::<f64>();
+        me.life = chance.random();
         Members {
             me,
             terms,
@@ -301,12 +307,27 @@
         }
     }
 
+    /// This member is about to go; it stays until [`Members::leave`].
+    pub fn leaving(&mut self, now: f64) {
+        self.now = now;
+        if !self.me.leaving {
+            self.me.leaving = true;
+            self.speak_up(self.me.stand);
+            self.tell_some();
+        }
+    }
+
     /// This member goes, and says so to some.
     pub fn leave(&mut self, now: f64) {
         self.now = now;
         self.me.condition = Condition::Left;
         self.me.stand += 1;
         self.rumours.insert(self.me.about.id, 0);
+        self.tell_some();
+    }
+
+    /// Some hear of this one at once, not only with its next probes.
+    fn tell_some(&mut self) {
         let mut others: Vec<Whereto> = self.alive_others();
         others.shuffle(&mut self.chance);
         for whereto in others.into_iter().take(8) {
@@ -548,10 +569,8 @@
         let id = news.about.id;
         if id == self.me.about.id {
             // What is said of this one and does not fit is refuted.
-            if news.condition != Condition::Alive
-                && news.stand >= self.me.stand
-                && self.me.condition != Condition::Left
-            {
+            let fits = news.condition == Condition::Alive && news.life == self.me.life;
+            if !fits && news.stand >= self.me.stand && self.me.condition != Condition::Left {
                 self.speak_up(news.stand);
             }
             return;
--- a/crates/plovershelf-group/src/status.rs
+++ b/crates/plovershelf-group/src/status.rs
@@ -17,11 +17,67 @@
     Replace {
         voter: String,
     },
+    /// What is held for others here.
+    Copies,
+    /// What is held here of one ticket of an offering.
+    Ticket {
+        offering: String,
+        ticket: String,
+    },
+}
+
+/// What a member holds for others and asks of them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CopiesStatus {
+    pub name: String,
+    pub view: u64,
+    /// Whether it knows all that there was of what it is first of, so that it orders new claims.
+    pub settled: bool,
+    pub copies: u64,
+    pub least: u64,
+    pub held: u64,
+    pub held_most: u64,
+    pub held_bytes: u64,
+    pub held_bytes_most: u64,
+    /// Tickets that it is first of and that have fewer copies than they should.
+    pub low: u64,
+    /// Its own invocations: whose claim is asked for, that wait for another's end, that run, whose end is being copied.
+    pub asking: u64,
+    pub waiting: u64,
+    pub running: u64,
+    pub ending: u64,
+    /// Members that may be gone and are passed over.
+    pub doubted: Vec<String>,
+    pub leaving: Vec<String>,
+}
+
+/// A ticket as one member sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TicketStatus {
+    pub name: String,
+    pub view: u64,
+    pub hash: String,
+    /// Where its copies lie by the view, the first at the front.
+    pub placed: Vec<String>,
+    pub held: Option<HeldStatus>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct HeldStatus {
+    pub runner: String,
+    /// Who had to confirm the claim before anything was launched.
+    pub holders: Vec<String>,
+    /// `open`, `succeeded` with the length of its result, `failed`, `in doubt`.
+    pub state: String,
+    pub claimed_under_view: u64,
+    pub keep_ms: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     Status(Box<Status>),
+    Copies(Box<CopiesStatus>),
+    Ticket(Box<TicketStatus>),
     Done(String),
     Refused(String),
 }
@@ -35,6 +91,7 @@
     pub address: String,
     pub condition: String,
     pub fit: bool,
+    pub leaving: bool,
     pub in_view: bool,
     pub voter: bool,
     /// How long it has been in its condition, in milliseconds.
@@ -107,6 +164,7 @@
                 address: about.address.to_string(),
                 condition: condition(news.condition).into(),
                 fit: news.fit,
+                leaving: news.leaving,
                 in_view: view.members.contains_key(&about.id),
                 voter: council.voters().contains(&about.id),
                 since_ms: now - since,
--- a/crates/plovershelf-group/src/store.rs
+++ b/crates/plovershelf-group/src/store.rs
@@ -22,7 +22,7 @@
 }
 
 pub const MAGIC: [u8; 4] = *b"plvk";
-pub const MAJOR: u16 = 1;
+pub const MAJOR: u16 = 2;
 
 /// What a file came to.
 #[derive(Debug, PartialEq)]
@@ -56,6 +56,7 @@
                         found.major
                     ))
                 }
+                Ok(found) if found.major < MAJOR => return Read::Spoilt("an older version wrote it"),
                 Ok(found) if found.group != group || found.name != name => {
                     return Read::NotOurs(format!(
                         "it belongs to {:?} of the group {:?}",
--- a/crates/plovershelf-group/tests/properties.rs
+++ b/crates/plovershelf-group/tests/properties.rs
@@ -58,7 +58,15 @@
         Just(Condition::Left)
     ];
     (1u64..40, 0u32..4, any::<bool>(), condition, ids()).prop_map(|(number, stand, fit, condition, by)| {
-        News { about: about(number), stand, fit, condition, by }
+        News {
+            about: about(number),
+            stand,
+            fit,
+            leaving: !fit && stand % 2 == 0,
+            life: u64::from(stand / 3),
+            condition,
+            by,
+        }
     })
 }
 
--- a/crates/plovershelf-model/src/copies.rs
+++ b/crates/plovershelf-model/src/copies.rs
@@ -436,6 +436,7 @@
                 }
                 self.answer(member, number, Some(ending));
             }
+            Told::Enough(..) => {}
             Told::Refuse(number) => self.answer(member, number, None),
         }
     }
@@ -592,7 +593,8 @@
                 self.net.loss = (self.net.loss + if begins { share } else { -share }).max(0.0)
             }
             Fault::Slow { member, by_ms } => self.net.slow(member, begins.then_some(by_ms)),
-            Fault::Kill { member, .. } => self.down(member, begins),
+            // Without the time that leaving takes: as hard as a loss.
+            Fault::Kill { member, .. } | Fault::Leave { member } => self.down(member, begins),
             // Two at once, next to each other and so in two zones: what three copies are promised to outlive.
             Fault::KillThird { first } => {
                 third(first, count).take(2).collect::<Vec<_>>().into_iter().for_each(|m| self.down(m, begins))
--- a/crates/plovershelf-model/src/group.rs
+++ b/crates/plovershelf-model/src/group.rs
@@ -438,6 +438,8 @@
             }
             Fault::Slow { member, by_ms } => self.net.slow(member, begins.then_some(by_ms)),
             Fault::Kill { member, folder } => self.down(member, begins, folder),
+            // Without the notice: as hard as a loss that keeps its folder.
+            Fault::Leave { member } => self.down(member, begins, Folder::Kept),
             Fault::KillThird { first } => third(first, count)
                 .collect::<Vec<_>>()
                 .into_iter()
--- a/crates/plovershelf-model/src/schedule.rs
+++ b/crates/plovershelf-model/src/schedule.rs
@@ -54,6 +54,10 @@
         member: usize,
         by_ms: f64,
     },
+    /// It is told to leave, takes the time it has, and is started again at the fault's end.
+    Leave {
+        member: usize,
+    },
     /// A third of all, at once.
     KillThird {
         first: usize,
@@ -88,6 +92,7 @@
             Fault::Unfit { .. } => "unfit",
             Fault::Full { .. } => "full",
             Fault::Clock { .. } => "clock",
+            Fault::Leave { .. } => "leave",
             Fault::KillThird { .. } => "kill-third",
         }
     }
@@ -102,6 +107,7 @@
             | Fault::Stop { member }
             | Fault::Unfit { member }
             | Fault::Full { member }
+            | Fault::Leave { member }
             | Fault::Clock { member, .. } => vec![*member],
             Fault::KillThird { first } => third(*first, members).collect(),
         }
@@ -219,6 +225,7 @@
             Fault::Kill { member, .. }
             | Fault::Stop { member }
             | Fault::Unfit { member }
+            | Fault::Leave { member }
             | Fault::Full { member } => {
                 write!(out, " n{}", member + 1)
             }
@@ -290,6 +297,7 @@
         "stop" => Fault::Stop { member: one()? },
         "unfit" => Fault::Unfit { member: one()? },
         "full" => Fault::Full { member: one()? },
+        "leave" => Fault::Leave { member: one()? },
         "kill-third" => Fault::KillThird { first: one()? },
         _ => return None,
     };
--- a/crates/plovershelf-server/src/group.rs
+++ b/crates/plovershelf-server/src/group.rs
@@ -24,7 +24,7 @@
 use plovershelf_group::frames::Wire;
 use plovershelf_group::group::{Event, Group, Out, Start};
 use plovershelf_group::members::About;
-use plovershelf_group::status::{Answer, Question, Status};
+use plovershelf_group::status::{Answer, CopiesStatus, HeldStatus, Question, Status, TicketStatus};
 use plovershelf_operator::group::Group as Setup;
 
 use folder::Folder;
@@ -85,7 +85,10 @@
     Odd(String),
     /// What the owner wants of the copies.
     Asked(Asked),
-    Leave,
+    /// The notice to leave: what is held for others is to stand elsewhere within so long.
+    Leave {
+        within_ms: f64,
+    },
 }
 
 /// Starts the group's thread. What the sender takes reaches it.
@@ -126,14 +129,13 @@
         };
         executor.spawn(listening).detach();
         let links = Links::new(executor, &setup.name, setup.ways.clone());
-        let copies = setup
-            .copies
-            .clone()
-            .zip(told)
-            .map(|(terms, told)| copied::Copied::new(start.about.id, terms, told));
+        let group = Group::new(start, now_ms());
+        let (own, life) = (group.about().id, group.members().me().life);
+        let copies = setup.copies.clone().zip(told);
+        let copies = copies.map(|(terms, told)| copied::Copied::new(own, life, terms, told));
         let keeper = Keeper {
             copies,
-            group: Group::new(start, now_ms()),
+            group,
             name: setup.name.clone(),
             folder,
             folder_again_at: None,
@@ -179,11 +181,6 @@
             // The time first: one that stood still finds out before it hears or does anything else.
             self.tick();
             for event in event.into_iter().chain(std::iter::from_fn(|| incoming.try_recv().ok()).take(64)) {
-                if let Incoming::Leave = event {
-                    self.group.leave(now_ms());
-                    self.carry_out();
-                    continue;
-                }
                 self.take(event);
             }
         }
@@ -210,6 +207,22 @@
             copies.tick(now);
         }
         self.carry_out();
+        self.go_when_handed_on(now);
+    }
+
+    fn go_when_handed_on(&mut self, now: f64) {
+        let Some(left) = self.copies.as_mut().and_then(|copies| copies.may_go(now)) else { return };
+        if left == 0 {
+            tracing::info!(event = "handed_on", "all that was held for others stands elsewhere");
+        } else {
+            tracing::warn!(
+                event = "not_handed_on",
+                tickets = left,
+                "time is over before others had all that was held for them"
+            );
+        }
+        self.group.leave(now);
+        self.carry_out();
     }
 
     fn take(&mut self, event: Incoming) {
@@ -220,8 +233,8 @@
                 Wire::Ask(question) => self.asked(question, from_here, answer),
                 Wire::Answer(_) => {}
                 Wire::Part { from, to, bytes } => {
-                    if let Some(copies) = self.copies.as_mut().filter(|_| to == self.group.about().id) {
-                        copies.hear(now, from, &bytes);
+                    if let Some(copies) = self.copies.as_mut() {
+                        copies.hear(now, from, to, &bytes);
                     }
                 }
             },
@@ -231,7 +244,14 @@
                     copies.asked(now, asked);
                 }
             }
-            Incoming::Leave => {}
+            // With copies it stays a member until what it holds stands elsewhere; without any it goes at once.
+            Incoming::Leave { within_ms } => match self.copies.as_mut() {
+                Some(copies) => {
+                    copies.leave(now, now + within_ms);
+                    self.group.drain(now);
+                }
+                None => self.group.leave(now),
+            },
         }
         self.carry_out();
     }
@@ -240,6 +260,7 @@
     fn asked(&mut self, question: Question, from_here: bool, answer: Sender<Answer>) {
         let now = now_ms();
         let told = match question {
+            Question::Copies | Question::Ticket { .. } => self.told_of_copies(question),
             Question::Status => Answer::Status(Box::new(Status::of(&self.group, &self.name, now))),
             _ if !from_here => {
                 Answer::Refused("such a command is taken on the member's own machine alone".into())
@@ -260,6 +281,61 @@
         let _ = answer.try_send(told);
     }
 
+    fn told_of_copies(&self, question: Question) -> Answer {
+        let Some(copied) = &self.copies else {
+            return Answer::Refused("there are no copies here: group.ini has no section [copies]".into());
+        };
+        let (copies, view) = (copied.copies(), self.group.view());
+        let name = |id: &Id| self.group.name_of(*id).unwrap_or_else(|| shown(*id));
+        let holder = |id: &Id| copied.member(*id).map_or_else(|| shown(*id), |member| name(&member));
+        let own = self.group.about().name.clone();
+        if let Question::Ticket { offering, ticket } = question {
+            let ticket = plovershelf_copies::placement::Ticket::of(&offering, ticket.as_bytes());
+            let held = copies.look_up(ticket).map(|record| HeldStatus {
+                runner: holder(&record.claim.runner),
+                holders: record.holders.iter().map(holder).collect(),
+                state: match &record.ending {
+                    None => "open".into(),
+                    Some(copied::Ending::Succeeded(result)) => format!("succeeded, {} bytes", result.len()),
+                    Some(copied::Ending::Failed) => "failed".into(),
+                    Some(copied::Ending::InDoubt) => "in doubt".into(),
+                },
+                claimed_under_view: record.order.0,
+                keep_ms: record.keep_ms,
+            });
+            let placed = copies.placed(ticket).iter().map(holder).collect();
+            let hash = format!("{:032x}", ticket.0);
+            return Answer::Ticket(Box::new(TicketStatus {
+                name: own,
+                view: copies.view(),
+                hash,
+                placed,
+                held,
+            }));
+        }
+        let [asking, waiting, running, ending] = copies.own_counts();
+        let terms = copies.terms();
+        let leaving = view.members.values().filter(|seat| seat.leaving).map(|seat| seat.name.clone());
+        Answer::Copies(Box::new(CopiesStatus {
+            name: own,
+            view: copies.view(),
+            settled: copies.settled(),
+            copies: terms.copies as u64,
+            least: terms.least as u64,
+            held: copies.held_count() as u64,
+            held_most: terms.tickets as u64,
+            held_bytes: copies.held_bytes() as u64,
+            held_bytes_most: terms.bytes as u64,
+            low: copies.low() as u64,
+            asking,
+            waiting,
+            running,
+            ending,
+            doubted: self.group.doubted().iter().map(name).collect(),
+            leaving: leaving.collect(),
+        }))
+    }
+
     /// Keeps first, then says.
     fn carry_out(&mut self) {
         let Out { save, mut send, events } = self.group.take();
@@ -282,15 +358,19 @@
             self.links.send(whereto.address, name.as_deref(), &Wire::Say(envelope));
         }
         events.into_iter().for_each(|event| self.tell(event));
+        if let Some(copies) = self.copies.as_mut() {
+            copies.doubts(now_ms(), &self.group.doubted());
+        }
         self.hand_out_copies();
     }
 
     /// What the copies say goes by the links of the group, to whom the agreed view says.
     fn hand_out_copies(&mut self) {
         let Some(copies) = self.copies.as_mut() else { return };
-        let from = self.group.about().id;
-        for (to, bytes) in copies.take() {
-            let seat = self.group.view().members.get(&to).map(|seat| (seat.address, seat.name.clone()));
+        let (from, send) = copies.take();
+        for (to, bytes) in send {
+            let seat = copies.member(to).and_then(|member| self.group.view().members.get(&member));
+            let seat = seat.map(|seat| (seat.address, seat.name.clone()));
             if let Some((address, name)) = seat {
                 self.links.send(address, Some(&name), &Wire::Part { from, to, bytes });
             }
--- a/crates/plovershelf-server/src/group/copied.rs
+++ b/crates/plovershelf-server/src/group/copied.rs
@@ -1,9 +1,10 @@
 //! The copies' part of the group's thread: between the owner's wishes, the links, and the state machine that decides.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use async_channel::Sender;
-use plovershelf_copies::copies::{self, Copies, Ending, Message, Terms};
+pub use plovershelf_copies::copies::Ending;
+use plovershelf_copies::copies::{self, Copies, Message, Terms};
 use plovershelf_copies::placement::{Holder, Ticket};
 use plovershelf_group::council::Id;
 use plovershelf_group::decided::View;
@@ -36,43 +37,106 @@
     Launch(u32),
     Ended(u32, Ending),
     Answer(u32, Ending),
+    /// What there is to answer with if the due time comes before all copies have it.
+    Enough(u32, Ending),
     Refuse(u32),
+    /// All that this member held stands elsewhere, or its time for that is over.
+    HandedOn,
+}
+
+/// Who holds copies is one start of one member's process: what was held is gone with it, though its folder may be kept.
+fn holder_of(id: Id, life: u64) -> Id {
+    let hash = (id.0 ^ life.rotate_left(29)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Id(hash ^ hash >> 31)
 }
 
 pub struct Copied {
+    me: Id,
+    /// Members of the view by the holders that they are.
+    seats: BTreeMap<Id, Id>,
     copies: Copies,
     /// The owner's numbers by the copies' own, and the other way round.
     ids: BTreeMap<u64, u32>,
     numbers: BTreeMap<u32, u64>,
     told: Sender<Told>,
+    /// Until when this member hands on what it holds, once it leaves.
+    leaves_by: Option<f64>,
 }
 
 impl Copied {
-    pub fn new(me: Id, terms: Terms, told: Sender<Told>) -> Self {
+    pub fn new(me: Id, life: u64, terms: Terms, told: Sender<Told>) -> Self {
+        let me = holder_of(me, life);
         let copies = Copies::new(me, terms, super::now_ms());
-        Copied { copies, ids: BTreeMap::new(), numbers: BTreeMap::new(), told }
+        Copied {
+            me,
+            seats: BTreeMap::new(),
+            copies,
+            ids: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            told,
+            leaves_by: None,
+        }
     }
 
     pub fn next_at(&self) -> f64 {
-        self.copies.next_at()
+        self.copies.next_at().min(self.leaves_by.unwrap_or(f64::INFINITY))
+    }
+
+    /// The member behind a holder of the view.
+    pub fn member(&self, holder: Id) -> Option<Id> {
+        self.seats.get(&holder).copied()
+    }
+
+    pub fn doubts(&mut self, now: f64, doubted: &BTreeSet<Id>) {
+        let holders =
+            self.seats.iter().filter(|(_, member)| doubted.contains(member)).map(|(holder, _)| *holder);
+        self.copies.doubts(now, holders.collect());
+    }
+
+    /// This member leaves: what it holds is to stand elsewhere by then.
+    pub fn leave(&mut self, now: f64, by: f64) {
+        self.leaves_by.get_or_insert(by);
+        self.copies.leave(now);
+    }
+
+    /// Once, when all was handed on or the time for it is over: what then stands nowhere else for certain.
+    pub fn may_go(&mut self, now: f64) -> Option<usize> {
+        let by = self.leaves_by?;
+        let handed_on = self.copies.handed_on();
+        if !handed_on && now < by {
+            return None;
+        }
+        self.leaves_by = None;
+        let _ = self.told.try_send(Told::HandedOn);
+        Some(if handed_on { 0 } else { self.copies.held_count() + self.numbers.len() })
+    }
+
+    pub fn copies(&self) -> &Copies {
+        &self.copies
     }
 
     pub fn tick(&mut self, now: f64) {
         self.copies.tick(now);
     }
 
-    /// A member's machine is told by its address, its weight is one.
+    /// A member's machine is told by the host of its address where there are several hosts, else by its address. One that leaves
+    /// has no weight: nothing new is given to it.
     pub fn view_is(&mut self, now: f64, view: &View) {
+        let hosts: BTreeSet<_> = view.members.values().map(|seat| seat.address.ip()).collect();
         let holder = |(id, seat): (&Id, &plovershelf_group::decided::Seat)| Holder {
-            id: *id,
+            id: holder_of(*id, seat.life),
             zone: seat.zone.clone(),
-            machine: seat.address.to_string(),
-            weight: 1.0,
+            machine: if hosts.len() > 1 { seat.address.ip().to_string() } else { seat.address.to_string() },
+            weight: if seat.leaving { 0.0 } else { 1.0 },
         };
+        self.seats = view.members.iter().map(|(id, seat)| (holder_of(*id, seat.life), *id)).collect();
         self.copies.view_is(now, view.number, view.members.iter().map(holder).collect());
     }
 
-    pub fn hear(&mut self, now: f64, from: Id, bytes: &[u8]) {
+    pub fn hear(&mut self, now: f64, from: Id, to: Id, bytes: &[u8]) {
+        if to != self.me {
+            return;
+        }
         if let Ok(message) = plovershelf_group::frames::decode::<Message>(bytes) {
             self.copies.hear(now, from, message);
         }
@@ -104,7 +168,7 @@
     }
 
     /// Tells the owner what it hears, and hands back what goes to others.
-    pub fn take(&mut self) -> Vec<(Id, Vec<u8>)> {
+    pub fn take(&mut self) -> (Id, Vec<(Id, Vec<u8>)>) {
         let (send, out) = self.copies.take();
         for told in out {
             let (number, over) = match &told {
@@ -112,6 +176,7 @@
                 copies::Told::Ended(number, _)
                 | copies::Told::Answer(number, _)
                 | copies::Told::Refuse(number) => (*number, true),
+                copies::Told::Enough(number, _) => (*number, false),
             };
             let Some(id) = self.ids.get(&number).copied() else { continue };
             if over {
@@ -122,11 +187,13 @@
                 copies::Told::Launch(_) => Told::Launch(id),
                 copies::Told::Ended(_, ending) => Told::Ended(id, ending),
                 copies::Told::Answer(_, ending) => Told::Answer(id, ending),
+                copies::Told::Enough(_, ending) => Told::Enough(id, ending),
                 copies::Told::Refuse(_) => Told::Refuse(id),
             };
             // As many are under way at most as the owner has open.
             let _ = self.told.try_send(told);
         }
-        send.into_iter().map(|(to, message)| (to, plovershelf_group::frames::plain(&message))).collect()
+        let plain = |(to, message): (Id, Message)| (to, plovershelf_group::frames::plain(&message));
+        (self.me, send.into_iter().map(plain).collect())
     }
 }
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -69,6 +69,7 @@
     executor.spawn(roster).detach();
     let accept = sidecars::accept(executor, listener, slots.clone(), events.clone(), limits.clone());
     let accepting = executor.spawn(accept);
+    let (stop_ms, limits_told) = (launch.stop_ms, limits.clone());
     let obey = async move {
         while let Some(signal) = signals.next().await {
             if matches!(signal, Ok(Signal::Hup)) {
@@ -81,7 +82,8 @@
                 }
             } else {
                 if let Some(in_group) = &in_group {
-                    let _ = in_group.try_send(group::Incoming::Leave);
+                    let within_ms = (stop_ms - 2.0 * limits_told.exit_early_ms).max(0.0);
+                    let _ = in_group.try_send(group::Incoming::Leave { within_ms });
                 }
                 let _ = events.send(Event::Leave).await;
             }
@@ -90,7 +92,7 @@
     executor.spawn(obey).detach();
 
     tracing::info!("{} listens on {}", launch.name, launch.listen);
-    let (start, stop_ms) = (launch.start, launch.stop_ms);
+    let start = launch.start;
     let owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
     let mut owner = owner.with_pools(pools)?.with_pulse(pulse).with_copies(copied);
     let run = async {
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -81,6 +81,10 @@
     mark: Option<Mark>,
     /// Where tickets have copies: how far its claim is.
     copied: copied::Stage,
+    /// Its ending stands on enough copies to be told if the due time comes before the rest; or its caller was told that it
+    /// failed, so that no other ending is told to anybody.
+    enough: Option<plovershelf_copies::copies::Ending>,
+    told_failed: bool,
 }
 
 /// The place of a launch that no link has taken; the number of no call.
@@ -130,6 +134,8 @@
     pulse: Option<std::sync::Arc<crate::group::Pulse>>,
     /// Takes what is wanted of the copies, where tickets have any.
     copies: Option<Sender<crate::group::Incoming>>,
+    /// What is held for others stands elsewhere, or nothing is.
+    handed_on: bool,
 }
 
 fn unix_ms() -> f64 {
@@ -182,6 +188,7 @@
             pools_told_at: 0.0,
             pulse: None,
             copies: None,
+            handed_on: true,
             limits,
         }
     }
@@ -200,6 +207,7 @@
     }
 
     pub fn with_copies(mut self, copies: Option<Sender<crate::group::Incoming>>) -> Self {
+        self.handed_on = copies.is_none();
         self.copies = copies;
         self
     }
@@ -321,7 +329,7 @@
             self.decide(|backend, now| backend.run_ended(now, id, end));
         }
         let idle = || self.connections.is_empty() && self.open.values().all(|open| open.answered);
-        self.over |= self.grace_over && idle();
+        self.over |= self.grace_over && self.handed_on && idle();
     }
 
     /// Asks the module and carries out what it says.
--- a/crates/plovershelf-server/src/owner/copied.rs
+++ b/crates/plovershelf-server/src/owner/copied.rs
@@ -62,10 +62,26 @@
         }
     }
 
-    /// The module counts it as running while its claim is asked for; if its time ends then, nothing has run: it is dismissed.
-    pub(super) fn unclaimed(&self, id: u32, ending: Answered) -> Answered {
-        match self.open.get(&id) {
-            Some(open) if open.copied == Stage::Asking => self.come_back(),
+    /// How it is answered if its time ends before the copies have told of it: while its claim is asked for nothing has run, so it
+    /// is dismissed; an ending that enough copies have is told; and a run that its caller is told to have failed has failed
+    /// for all, whatever it comes to.
+    pub(super) fn out_of_time(&mut self, id: u32, ending: Answered) -> Answered {
+        let dismissed = self.come_back();
+        match self.open.get_mut(&id) {
+            Some(open) if open.copied == Stage::Asking => dismissed,
+            Some(open) if open.copied == Stage::Ending && ending == Answered::Scrapped => {
+                match open.enough.take() {
+                    Some(Ending::Succeeded(result)) => {
+                        open.result = result;
+                        Answered::Succeeded
+                    }
+                    _ => ending,
+                }
+            }
+            Some(open) if open.copied == Stage::Launched && !open.answered => {
+                open.told_failed = ending == Answered::Scrapped;
+                ending
+            }
             _ => ending,
         }
     }
@@ -93,7 +109,7 @@
             return false;
         }
         open.copied = Stage::Ending;
-        let well = matches!(over, RunOver::Success);
+        let well = matches!(over, RunOver::Success) && !open.told_failed;
         let ending = if well { Ending::Succeeded(result.to_vec()) } else { Ending::Failed };
         self.ask(Asked::Ended { id, ending });
         true
@@ -125,7 +141,13 @@
                 };
                 self.run_ended(id, end, result);
             }
+            Told::Enough(id, ending) => {
+                if let Some(open) = self.open.get_mut(&id).filter(|open| open.copied == Stage::Ending) {
+                    open.enough = Some(ending);
+                }
+            }
             Told::Refuse(id) => self.refuse_unclaimed(id),
+            Told::HandedOn => self.handed_on = true,
         }
     }
 
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -154,6 +154,8 @@
             result: Vec::new(),
             mark,
             copied: Default::default(),
+            enough: None,
+            told_failed: false,
         };
         self.open.insert(arrival.id, open);
         self.decide(|backend, now| backend.arrived(now, arrival));
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -43,7 +43,7 @@
             (_, State::Calling { within_ms }) => self.place_call(id, within_ms),
             (_, State::Joined) => self.join(id),
             (Some(_), State::Spent { ending, stop }) => {
-                let ending = self.unclaimed(id, ending);
+                let ending = self.out_of_time(id, ending);
                 self.give_up_call(id);
                 self.answer(id, ending);
                 if stop {
@@ -53,7 +53,7 @@
                 self.settle_doubt(id);
             }
             (Some(_), State::Ended(ending)) => {
-                let ending = self.unclaimed(id, ending);
+                let ending = self.out_of_time(id, ending);
                 self.give_up_call(id);
                 self.claim_given_up(id);
                 self.answer(id, ending);
--- a/crates/plovershelf-server/tests/group.rs
+++ b/crates/plovershelf-server/tests/group.rs
@@ -202,6 +202,57 @@
     async_io::block_on(executor.run(run));
 }
 
+/// Two that had a ticket's end are killed and started anew at once, with their folders: their names and memories are back and
+/// belong to the view all the while, but what their processes held is gone. They count as holders no more, and the
+/// result is copied to them anew from the one that is left.
+#[test]
+fn one_that_is_back_at_once_with_its_folder_holds_nothing_until_it_is_copied_anew() {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let mut plan = plan(true);
+    plan.group =
+        plan.group.map(|group| rig::Plan { more: "\n[copies]\ncopies = 3\nleast = 2\n".into(), ..group });
+    let mut fleet = Fleet::start(&executor, clock, &plan).expect("three backends");
+    let run = async {
+        until("founded", &fleet, &[0, 1, 2], agreed(3)).await;
+        assert!(fleet.up(clock, 20_000.0).await);
+        let addresses = fleet.addresses();
+        let work = Work { number: 1, work_ms: 5.0, calls: 0, effect: Effect::Ticketed };
+        let body = work.body();
+        let asked = Asked {
+            offering: "marked",
+            tenant: "acme",
+            rank: 0.5,
+            ticket: Some("00000000000000a1"),
+            rerunnable: false,
+            body: &body,
+            within: Duration::from_secs(20),
+        };
+        let well = Ended::Succeeded(work.result());
+        let caller = Plain::new(&executor, &addresses, 1);
+        assert_eq!(caller.once(addresses[0], &asked).await, well);
+        for member in [0, 1] {
+            let before = until("one view", &fleet, &[0, 1, 2], agreed(3)).await[0].view;
+            fleet.fault(&Fault::Kill { member, folder: Folder::Kept }, true, 3);
+            fleet.fault(&Fault::Kill { member, folder: Folder::Kept }, false, 3);
+            // Its new start is a change of view, though it was never put out.
+            until("back", &fleet, &[0, 1, 2], |all| agreed(3)(all) && all[0].view > before).await;
+        }
+        let caller = Plain::new(&executor, &addresses, 2);
+        let began = Instant::now();
+        let mut ended = caller.once(addresses[2], &asked).await;
+        // Views may still be on their way to it; then it is told to come back.
+        while ended != well && began.elapsed() < Duration::from_secs(20) {
+            assert!(matches!(ended, Ended::Dismissed), "{ended:?}");
+            Timer::after(Duration::from_millis(200)).await;
+            ended = caller.once(addresses[2], &asked).await;
+        }
+        assert_eq!(ended, well);
+        assert_eq!(fleet.account.borrow().runs(), 1);
+    };
+    async_io::block_on(executor.run(run));
+}
+
 /// Threads, or descriptors but for files and pipes, which a process may be given by the one that starts it.
 fn counted(fleet: &Fleet, what: &str) -> usize {
     let id = fleet.backends[0].id().expect("it runs");
--- a/crates/plovershelf-standins/src/backend.rs
+++ b/crates/plovershelf-standins/src/backend.rs
@@ -69,6 +69,7 @@
     pub beats: Rc<RefCell<std::collections::BTreeMap<String, f64>>>,
     /// The group's ways and folders, where there is one.
     pub rig: Option<Rig>,
+    pub(crate) stop_ms: f64,
     folder: PathBuf,
 }
 
@@ -152,7 +153,7 @@
             backend.start()?;
             backends.push(backend);
         }
-        Ok(Fleet { backends, ledger, account, beats, rig, folder })
+        Ok(Fleet { backends, ledger, account, beats, rig, stop_ms: plan.stop_ms, folder })
     }
 
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/crates/plovershelf-standins/src/rig.rs
+++ b/crates/plovershelf-standins/src/rig.rs
@@ -190,6 +190,7 @@
                 }
             }
             Fault::Kill { member, folder } => self.down(*member, begins, *folder),
+            Fault::Leave { member } => self.leave(*member, begins),
             Fault::KillThird { first } => {
                 third(*first, count).for_each(|m| self.down(m, begins, Folder::Kept))
             }
@@ -218,6 +219,20 @@
         }
     }
 
+    /// One that has not ended by the fault's end is killed, and counts as a crash.
+    fn leave(&mut self, place: usize, begins: bool) {
+        let stop_ms = self.stop_ms;
+        let backend = &mut self.backends[place];
+        if begins {
+            return backend.leave(stop_ms);
+        }
+        if backend.ended().is_none() {
+            backend.crashes += 1;
+            let _ = backend.kill();
+        }
+        let _ = backend.start();
+    }
+
     fn down(&mut self, place: usize, begins: bool, folder: Folder) {
         let backend = &mut self.backends[place];
         let mut member = self.rig.as_mut().map(|rig| &mut rig.members[place]);
