--- a/crates/plovershelf-cli/src/trial/copies_rolling.rs
+++ b/crates/plovershelf-cli/src/trial/copies_rolling.rs
@@ -8,9 +8,9 @@
 const MEMBERS: usize = 9;
 const ZONES: usize = 3;
 const DEMAND: f64 = 0.7;
-/// From one notice to the next, and until it is started again. The notice leaves two seconds.
-const EVERY_MS: f64 = 4500.0;
-const AWAY_MS: f64 = 2300.0;
+/// From one notice to the next, and until it is started again. The notice leaves two and a half seconds.
+const EVERY_MS: f64 = 5000.0;
+const AWAY_MS: f64 = 2800.0;
 
 pub fn run(ground: &Ground) -> Result<Figures, String> {
     let step = |turn: usize| Step {
