--- /dev/null
+++ b/crates/plovershelf-zones/src/seen.rs
@@ -0,0 +1,207 @@
+//! What members and callers see of zones, summed up so that one that lies, is wrong or is silent moves little.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// What a member tells of itself once a period. Work is told in cores: core-seconds a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The number of the plan that it acts by; 0 for the safe default.
+    pub plan: u64,
+    /// What callers of its own zone asked of it, let in or not.
+    pub asked: f64,
+    /// What it could carry, as warm as it is; 0 where its agent or ledger is gone.
+    pub could: f64,
+    /// Of what it answered, the share in time.
+    pub in_time: f64,
+    /// The ledger, which all share, is what is slow.
+    pub ledger_slow: bool,
+}
+
+/// What a caller sees from another side of the network: of one zone, tries of late and those that were answered.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Outside {
+    pub origin: usize,
+    /// What it wants of other zones or does not send, by the plan: no member of its own zone sees that.
+    pub away: f64,
+    /// By zone: tries, answered.
+    pub tried: Vec<[f64; 2]>,
+}
+
+/// Spans in milliseconds, and how far one member may be from the middle of its like.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Nothing from a member for so long: it is silent, and carries nothing.
+    pub silent_ms: f64,
+    /// A member counts for at most so many times the middle of all.
+    pub of_middle: f64,
+    /// Tries from outside that say something of a zone.
+    pub tries_least: f64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { silent_ms: 1600.0, of_middle: 2.0, tries_least: 20.0 }
+    }
+}
+
+/// A zone, summed up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sum {
+    pub asked: f64,
+    /// What it carries in time: what it could, less what comes late beyond what is late everywhere.
+    pub carries: f64,
+    /// The largest part of it that goes with one member.
+    pub largest: f64,
+    pub members: usize,
+    pub silent: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    zones: usize,
+    terms: Terms,
+    /// By member: its zone, its last report, and when.
+    members: BTreeMap<u64, (usize, Report, f64)>,
+    outside: BTreeMap<u64, (Outside, f64)>,
+}
+
+/// Members and callers at once; more are left out.
+const MEMBERS_MOST: usize = 4096;
+/// Nobody has more; sums stay figures that can be reckoned with.
+const CORES_MOST: f64 = 1e6;
+
+fn middle(mut of: Vec<f64>) -> f64 {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied().unwrap_or(0.0)
+}
+
+fn sane(value: f64) -> f64 {
+    if value.is_finite() {
+        value.clamp(0.0, CORES_MOST)
+    } else {
+        0.0
+    }
+}
+
+impl Seen {
+    pub fn new(zones: usize, terms: Terms) -> Self {
+        Seen { zones, terms, members: BTreeMap::new(), outside: BTreeMap::new() }
+    }
+
+    pub fn hear(&mut self, now: f64, member: u64, zone: usize, report: Report) {
+        let known = self.members.contains_key(&member) || self.members.len() < MEMBERS_MOST;
+        if zone < self.zones && known {
+            let Report { plan, asked, could, in_time, ledger_slow } = report;
+            let in_time = sane(in_time).min(1.0);
+            let report = Report { plan, asked: sane(asked), could: sane(could), in_time, ledger_slow };
+            self.members.insert(member, (zone, report, now));
+        }
+    }
+
+    pub fn hear_outside(&mut self, now: f64, caller: u64, outside: Outside) {
+        let known = self.outside.contains_key(&caller) || self.outside.len() < MEMBERS_MOST;
+        let sound = outside.origin < self.zones
+            && outside.tried.len() <= self.zones
+            && outside.tried.iter().flatten().all(|count| (0.0..1e9).contains(count));
+        if known && sound {
+            self.outside.insert(caller, (outside, now));
+        }
+    }
+
+    /// Who belongs now; what others told is forgotten. Members that belong and never told anything are silent.
+    pub fn belong(&mut self, members: &BTreeMap<u64, usize>) {
+        self.members.retain(|member, _| members.contains_key(member));
+        for (member, zone) in members {
+            self.members.entry(*member).or_insert((*zone, Report::default(), f64::NEG_INFINITY));
+        }
+    }
+
+    /// Members that tell nothing, or of an older plan than this one.
+    pub fn behind(&self, now: f64, plan: u64) -> usize {
+        let late = |(_, report, at): &&(usize, Report, f64)| {
+            now - at > self.terms.silent_ms || report.plan != plan && report.plan != 0
+        };
+        self.members.values().filter(late).count()
+    }
+
+    /// Whether the ledger that all share is what most find slow: then no zone is better than another.
+    pub fn ledger_slow(&self, now: f64) -> bool {
+        let fresh = self.members.values().filter(|(.., at)| now - at <= self.terms.silent_ms);
+        let (slow, all) =
+            fresh.fold((0, 0), |(slow, all), (_, r, _)| (slow + usize::from(r.ledger_slow), all + 1));
+        all > 0 && slow * 2 > all
+    }
+
+    /// All zones, by what is fresh.
+    pub fn sums(&self, now: f64) -> Vec<Sum> {
+        let fresh = |at: f64| now - at <= self.terms.silent_ms;
+        let told: Vec<&(usize, Report, f64)> = self.members.values().filter(|(.., at)| fresh(*at)).collect();
+        // One that tells of ten times what its like can do counts as twice the middle of all at most.
+        let could_most = self.terms.of_middle
+            * middle(told.iter().map(|(_, r, _)| r.could).filter(|could| *could > 0.0).collect());
+        let mut sums = vec![Sum::default(); self.zones];
+        let mut in_time: Vec<Vec<f64>> = vec![Vec::new(); self.zones];
+        let mut asked: Vec<Vec<f64>> = vec![Vec::new(); self.zones];
+        for (zone, report, at) in self.members.values() {
+            let sum = &mut sums[*zone];
+            sum.members += 1;
+            if !fresh(*at) {
+                sum.silent += 1;
+                continue;
+            }
+            let could = report.could.min(could_most);
+            sum.carries += could;
+            sum.largest = sum.largest.max(could);
+            asked[*zone].push(report.asked);
+            if could > 0.0 {
+                in_time[*zone].push(report.in_time);
+            }
+        }
+        // What is late in most zones alike is no zone's own: it is held against the middle of all. So a ledger that is slow for
+        // everybody moves nothing.
+        let late: Vec<f64> =
+            in_time.iter().map(|zone| zone.iter().sum::<f64>() / zone.len().max(1) as f64).collect();
+        let well =
+            middle(late.iter().zip(&in_time).filter(|(_, z)| !z.is_empty()).map(|(l, _)| *l).collect());
+        for (zone, sum) in sums.iter_mut().enumerate() {
+            let most = self.terms.of_middle * middle(asked[zone].clone());
+            sum.asked = if asked[zone].len() > 2 {
+                asked[zone].iter().map(|asked| asked.min(most)).sum()
+            } else {
+                asked[zone].iter().sum()
+            };
+            if well > 0.0 && !in_time[zone].is_empty() && !self.ledger_slow(now) {
+                sum.carries *= (late[zone] / well).min(1.0);
+            }
+        }
+        self.heed_outside(now, &mut sums);
+        sums
+    }
+
+    /// What callers see: a zone whose members say they are well and whom callers don't reach carries what callers get from it.
+    fn heed_outside(&self, now: f64, sums: &mut [Sum]) {
+        let fresh: Vec<&Outside> = self
+            .outside
+            .values()
+            .filter(|(_, at)| now - at <= self.terms.silent_ms)
+            .map(|(o, _)| o)
+            .collect();
+        let answered = |zone: usize| {
+            let tried = fresh.iter().filter_map(|outside| outside.tried.get(zone));
+            let [tries, well] =
+                tried.fold([0.0, 0.0], |sum, one| [sum[0] + one[0], sum[1] + one[1].min(one[0])]);
+            (tries >= self.terms.tries_least).then(|| well / tries)
+        };
+        let shares: Vec<Option<f64>> = (0..sums.len()).map(answered).collect();
+        let well = middle(shares.iter().flatten().copied().collect());
+        for (zone, sum) in sums.iter_mut().enumerate() {
+            if let Some(share) = shares[zone].filter(|_| well > 0.0) {
+                sum.carries *= (share / well).min(1.0);
+            }
+            sum.asked +=
+                fresh.iter().filter(|outside| outside.origin == zone).map(|o| sane(o.away)).sum::<f64>();
+        }
+    }
+}
