Zones in the server, off by default: reports, the agreed plan, `plovershelf zones`

Need: the plan is worth something only where real processes see, agree and act by it. Change: the group's thread sums up what the owner counts (work asked by bands, answers in time, cores while its agent is up), reports to the leader once a period, has the plan agreed under the word `zones`, and answers callers and operators by the group's own listener; `[zone NAME]`, `[way A B]`, `[zones]` in group.ini; `plovershelf zones`; trial zones. A new leader hears from all before it plans, and what was agreed to be off mends as after a fall.

--- a/crates/plovershelf-cli/src/copies.rs
+++ b/crates/plovershelf-cli/src/copies.rs
@@ -49,7 +49,9 @@
             eprintln!("plovershelf: refused: {why}");
             Ok(1)
         }
-        Answer::Status(_) | Answer::Done(_) => Err(format!("{at}: answered something else")),
+        Answer::Status(_) | Answer::Done(_) | Answer::Part(_) => {
+            Err(format!("{at}: answered something else"))
+        }
     }
 }
 
--- a/crates/plovershelf-cli/src/group.rs
+++ b/crates/plovershelf-cli/src/group.rs
@@ -132,7 +132,9 @@
             }
             Ok(0)
         }
-        Answer::Copies(_) | Answer::Ticket(_) => Err(format!("{at}: answered something else")),
+        Answer::Copies(_) | Answer::Ticket(_) | Answer::Part(_) => {
+            Err(format!("{at}: answered something else"))
+        }
         Answer::Done(what) => {
             println!("{what}");
             Ok(0)
--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod load;
 mod trial;
+mod zones;
 
 use std::process::ExitCode;
 
@@ -40,6 +41,8 @@
     Group(group::Options),
     /// What a member holds for others: how much, with how many copies, and what of one ticket.
     Copies(copies::Options),
+    /// The plan of zones: what stays near, goes where, is cut; and an operator's word on it.
+    Zones(zones::Options),
     /// Judges a history that a trial left.
     Audit(audit::Options),
     /// Measures a claim on real processes; `plovershelf trial --list` names all.
@@ -85,6 +88,7 @@
         Command::Call(options) => call::run(&options),
         Command::Group(options) => group::run(&options),
         Command::Copies(options) => copies::run(&options),
+        Command::Zones(options) => zones::run(&options),
         Command::Audit(options) => audit::run(&options),
         Command::Trial(options) => trial::run(&options),
     };
--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -9,6 +9,7 @@
 mod group;
 mod group_model;
 mod pools;
+mod zones;
 mod zones_model;
 
 pub use client_overload::taps;
@@ -172,7 +173,7 @@
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 9] = [
+const TRIALS: [(&str, &str, Run); 10] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -208,6 +209,11 @@
         "simulated copies: machines lost with their disks, tries elsewhere; --members N --seeds N; and without copies",
         copies_model::run,
     ),
+    (
+        "zones",
+        "twelve backends in two regions of three zones: zones lost, flapping, without agents, stopped; by the plan and each alone",
+        zones::run,
+    ),
     (
         "zones-model",
         "simulated zones: what the plan makes of each shape of trouble, beside callers alone, fixed and the best; --members N --seeds N",
--- /dev/null
+++ b/crates/plovershelf-cli/src/zones.rs
@@ -0,0 +1,207 @@
+//! `plovershelf zones`: the plan as members act by it, and an operator's word on it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use comfy_table::{presets, Table};
+use plovershelf_group::frames::{decode, plain};
+use plovershelf_group::status::{Answer, Question};
+use plovershelf_zones::asks::{Ask, Status, Told};
+use plovershelf_zones::plan::{Plan, Zone, BANDS};
+use plovershelf_zones::planner::{Forecast, Wish};
+
+use crate::group::{ask, Whom};
+
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    command: Command,
+    #[command(flatten)]
+    whom: Whom,
+    /// One JSON object instead of tables.
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The plan that this member acts by: what of each zone stays near, goes where, is cut; shifts; the last changes.
+    Status,
+    /// What the plan would come to with zones shifted, and who would be how full; nothing is done. Asked of the leader.
+    Plan {
+        #[arg(long, value_delimiter = ',')]
+        without: Vec<String>,
+    },
+    /// Sends a zone's traffic elsewhere for a while, in steps; ends by itself. Asked of the leader, on its machine. Refused where
+    /// the others can't carry it.
+    Shift {
+        zone: String,
+        /// As in 90s, 30m, 2h.
+        #[arg(long = "for", value_parser = span_ms)]
+        for_ms: f64,
+        #[arg(long)]
+        why: String,
+        /// Also where the others can't carry it.
+        #[arg(long)]
+        force: bool,
+    },
+    /// Ends a shift before its time.
+    Return { zone: String },
+    /// Keeps the plan as it is for a while, whatever is seen.
+    Hold {
+        #[arg(long = "for", value_parser = span_ms)]
+        for_ms: f64,
+    },
+}
+
+const LONGEST_MS: f64 = 7.0 * 86_400_000.0;
+
+/// 90s, 30m, 2h: milliseconds.
+fn span_ms(text: &str) -> Result<f64, String> {
+    let unit = |unit: &str| match unit {
+        "s" => Some(1000.0),
+        "m" => Some(60_000.0),
+        "h" => Some(3_600_000.0),
+        _ => None,
+    };
+    let at = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let told = text[..at].parse::<f64>().ok().zip(unit(&text[at..]));
+    told.map(|(number, unit)| number * unit)
+        .filter(|ms| *ms >= 1000.0 && *ms <= LONGEST_MS)
+        .ok_or_else(|| "a span from 1s to 168h, as 90s, 30m or 2h".into())
+}
+
+/// Asks one member something of its zones.
+///
+/// Errors: it can't be asked, or it knows of no zones, in one line.
+pub async fn ask_zones(at: SocketAddr, group: &str, what: &Ask, within: Duration) -> Result<Told, String> {
+    let question = Question::Part { part: "zones".into(), bytes: plain(what) };
+    match ask(at, group, question, within).await? {
+        Answer::Part(bytes) => decode(&bytes).map_err(|spoilt| format!("{at}: {spoilt}")),
+        Answer::Refused(why) => Ok(Told::Refused(why)),
+        _ => Err(format!("{at}: answered something else")),
+    }
+}
+
+/// Exit statuses: 0 done, 1 refused; an error is a member that could not be asked.
+pub fn run(options: &Options) -> Result<u8, String> {
+    let (at, name) = options.whom.at()?;
+    let by = std::env::var("USER").unwrap_or_else(|_| "somebody".into());
+    let what = match &options.command {
+        Command::Status => Ask::Status,
+        Command::Plan { without } => Ask::Forecast { zones: without.clone() },
+        Command::Shift { zone, for_ms, why, force } => {
+            Ask::Shift(Wish { zone: zone.clone(), for_ms: *for_ms, why: why.clone(), by, forced: *force })
+        }
+        Command::Return { zone } => Ask::Return { zone: zone.clone() },
+        Command::Hold { for_ms } => Ask::Hold { for_ms: *for_ms },
+    };
+    let within = Duration::from_secs(10);
+    let told = async_io::block_on(ask_zones(at, &name, &what, within))?;
+    if options.json {
+        println!("{}", serde_json::to_string(&told).map_err(|error| error.to_string())?);
+        return Ok(u8::from(matches!(told, Told::Refused(_))));
+    }
+    match told {
+        Told::Status(status) => println!("{}", shown(&status)),
+        Told::Forecast(forecast) => {
+            let Told::Status(status) = async_io::block_on(ask_zones(at, &name, &Ask::Status, within))? else {
+                return Err(format!("{at}: answered something else"));
+            };
+            println!("{}\n{}", table(&status.zones, &forecast.plan), full(&status.zones, &forecast));
+        }
+        Told::Done(what) => println!("{what}"),
+        Told::Refused(why) => {
+            eprintln!("plovershelf: refused: {why}");
+            return Ok(1);
+        }
+    }
+    Ok(0)
+}
+
+/// A row a zone and band: what goes where.
+fn table(zones: &[Zone], plan: &Plan) -> Table {
+    let mut table = Table::new();
+    let bands = ["low", "ordinary", "high"];
+    let head = ["of", "rank"].map(str::to_string).into_iter();
+    table.load_preset(presets::NOTHING);
+    table.set_header(
+        head.chain(zones.iter().map(|zone| format!("to {}", zone.name))).chain(["cut".to_string()]),
+    );
+    for (from, zone) in zones.iter().enumerate() {
+        for band in (0..BANDS).rev() {
+            let share = |to: usize| match plan.share(from, band, to) {
+                share if share < 0.0005 => String::new(),
+                share => format!("{:.1} %", share * 100.0),
+            };
+            let told = [zone.name.clone(), bands[band].to_string()].into_iter();
+            table.add_row(told.chain((0..=zones.len()).map(share)));
+        }
+    }
+    table
+}
+
+fn full(zones: &[Zone], forecast: &Forecast) -> String {
+    let line = |(zone, [asked, carried, carries]): (&Zone, &[f64; 3])| {
+        format!(
+            "{} ({}): asked {asked:.1}, would carry {carried:.1} of {carries:.1} cores",
+            zone.name, zone.region
+        )
+    };
+    let mut lines: Vec<String> = zones.iter().zip(&forecast.zones).map(line).collect();
+    lines.push(format!("{:.1} % of all would be cut", forecast.cut * 100.0));
+    lines.join("\n")
+}
+
+fn shown(status: &Status) -> String {
+    let mut lines = vec![
+        format!(
+            "member {} in zone {}, led by {}",
+            status.name,
+            status.zone,
+            status.leader.as_deref().unwrap_or("nobody that is known")
+        ),
+        if status.acts {
+            format!(
+                "acts by plan {} ({}), for {:.1} s more",
+                status.plan.change,
+                status.plan.why,
+                status.left_ms / 1000.0
+            )
+        } else {
+            "ACTS BY NO PLAN: all near, what is too much is cut".into()
+        },
+        table(&status.zones, &status.plan).to_string(),
+    ];
+    for shift in &status.plan.shifts {
+        let zone = status.zones.get(shift.zone).map_or("?", |zone| zone.name.as_str());
+        lines.push(format!(
+            "{zone} is shifted by {} for {:.0} s more: {}",
+            shift.by,
+            shift.left_ms / 1000.0,
+            shift.why
+        ));
+    }
+    if status.plan.hold_left_ms > 0.0 {
+        lines.push(format!("held as it is for {:.0} s more", status.plan.hold_left_ms / 1000.0));
+    }
+    lines.extend(status.forecast.iter().map(|forecast| full(&status.zones, forecast)));
+    lines.extend(
+        status.history.iter().rev().take(8).map(|(ago, what)| format!("{:.0} s ago: {what}", ago / 1000.0)),
+    );
+    lines.join("\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spans_are_read_with_their_unit() {
+        assert_eq!((span_ms("90s"), span_ms("30m"), span_ms("2h")), (Ok(90e3), Ok(1.8e6), Ok(7.2e6)));
+        for wrong in ["", "30", "m", "0s", "9d", "400h", "-5m"] {
+            assert!(span_ms(wrong).is_err(), "{wrong}");
+        }
+    }
+}
--- a/crates/plovershelf-group/src/status.rs
+++ b/crates/plovershelf-group/src/status.rs
@@ -17,6 +17,11 @@
     Replace {
         voter: String,
     },
+    /// What another part of the product is asked, in its own words.
+    Part {
+        part: String,
+        bytes: Vec<u8>,
+    },
     /// What is held for others here.
     Copies,
     /// What is held here of one ticket of an offering.
@@ -78,6 +83,7 @@
     Status(Box<Status>),
     Copies(Box<CopiesStatus>),
     Ticket(Box<TicketStatus>),
+    Part(Vec<u8>),
     Done(String),
     Refused(String),
 }
--- a/crates/plovershelf-model/src/zones.rs
+++ b/crates/plovershelf-model/src/zones.rs
@@ -604,7 +604,10 @@
         let worst = self.turns.iter().map(|(at, zone)| minute(*zone, *at)).max().unwrap_or(0);
         self.came.turns_a_minute = self.came.turns_a_minute.max(worst);
         // Who acts by a plan that was followed by another longer ago than the bound.
-        let late = if truth.late_news.iter().any(|late| *late) { 6000.0 } else { 0.0 };
+        let late = |step: &Step| {
+            matches!(step.trouble, Trouble::LateNews(_)) && now < step.at_ms + step.for_ms + 7000.0
+        };
+        let late = if self.shape.steps.iter().any(late) { 6000.0 } else { 0.0 };
         let followed_at =
             |change: u64| self.issued.get(change as usize + 1).copied().unwrap_or(f64::INFINITY);
         let acts = self.followers.iter().map(|follower| follower.change(now)).filter(|change| *change > 0);
--- a/crates/plovershelf-operator/src/group.rs
+++ b/crates/plovershelf-operator/src/group.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 
 use plovershelf_group::group::Terms;
+use plovershelf_zones::plan::{Topology, Zone, ZONES_MOST};
+use plovershelf_zones::{planner, seen};
 
 use crate::{Reading, Wrong};
 
@@ -25,6 +27,16 @@
     pub ways: BTreeMap<String, SocketAddr>,
     /// Copies of what is held for others, where there are to be any.
     pub copies: Option<plovershelf_copies::copies::Terms>,
+    /// Zones with a plan of what goes where, where sections tell any.
+    pub zones: Option<Zones>,
+}
+
+/// The zones that a plan is made for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zones {
+    pub topology: Topology,
+    pub terms: planner::Terms,
+    pub seen: seen::Terms,
 }
 
 const KEYS: [&str; 16] = [
@@ -47,8 +59,18 @@
 ];
 const COPIES_KEYS: [&str; 7] =
     ["copies", "least", "tickets", "memory_mb", "claim_ms", "again_ms", "batches_a_second"];
-/// Sections that other parts of the product read.
-const OTHERS: [&str; 3] = ["zone ", "region ", "way "];
+const ZONES_KEYS: [&str; 10] = [
+    "period_ms",
+    "valid_ms",
+    "renew_ms",
+    "step_ms",
+    "fill_percent",
+    "near_fill_percent",
+    "leave_percent",
+    "return_percent",
+    "well_ms",
+    "way_most_ms",
+];
 
 /// Reads the file's text.
 ///
@@ -67,7 +89,9 @@
         terms,
         ways: BTreeMap::new(),
         copies: None,
+        zones: None,
     };
+    let (mut zones, mut ways, mut zone_terms) = (Vec::new(), Vec::new(), planner::Terms::default());
     let mut seen: Vec<&str> = Vec::new();
     for (section, told) in ini.iter() {
         let Some(section) = section else {
@@ -98,16 +122,89 @@
                     }
                 }
             }
-            _ if OTHERS.iter().any(|other| section.starts_with(other)) => {}
-            _ => reading.say(section, "is no section here; [group], [ways] and [copies] are"),
+            "zones" => {
+                reading.check_keys(section, told, &ZONES_KEYS);
+                planned(&mut reading, told, &mut zone_terms);
+            }
+            _ if section.starts_with("zone ") => {
+                reading.check_keys(section, told, &["region"]);
+                let name = section["zone ".len()..].trim().to_string();
+                let region = told.get("region").unwrap_or("region").trim().to_string();
+                zones.push(Zone { name, region });
+            }
+            _ if section.starts_with("way ") => {
+                reading.check_keys(section, told, &["ms"]);
+                let ms =
+                    reading.number(section, told, "ms", [0.0, 60_000.0], plovershelf_zones::plan::FAR_MS);
+                let ends: Vec<String> =
+                    section["way ".len()..].split_whitespace().map(str::to_string).collect();
+                ways.push((section.to_string(), ends, ms));
+            }
+            _ => reading.say(
+                section,
+                "is no section here; [group], [ways], [copies], [zones], [zone NAME] and [way ONE OTHER] are",
+            ),
         }
     }
     if !seen.contains(&"group") {
         reading.say("group", "is missing");
     }
+    group.zones = topology(&mut reading, zones, &ways, &group.zone).map(|topology| Zones {
+        topology,
+        terms: zone_terms,
+        seen: seen::Terms::default(),
+    });
     reading.done(group)
 }
 
+/// The zones with the ways between them, where any are told.
+fn topology(
+    reading: &mut Reading<'_>,
+    zones: Vec<Zone>,
+    ways: &[(String, Vec<String>, f64)],
+    own: &str,
+) -> Option<Topology> {
+    if zones.is_empty() {
+        ways.iter().for_each(|(section, ..)| reading.say(section, "is told, but no [zone NAME]"));
+        return None;
+    }
+    if zones.len() > ZONES_MOST {
+        reading.say("zones", &format!("{} zones: {ZONES_MOST} at most", zones.len()));
+        return None;
+    }
+    let mut topology = Topology::of(zones);
+    if topology.place(own).is_none() {
+        reading.say("group", &format!("zone = {own:?} has no section [zone {own}]"));
+    }
+    for (section, ends, ms) in ways {
+        match ends.iter().map(|name| topology.place(name)).collect::<Option<Vec<usize>>>().as_deref() {
+            Some([one, other]) if one != other => topology.way(*one, *other, *ms),
+            _ => reading.say(section, "names two zones that have sections of their own"),
+        }
+    }
+    Some(topology)
+}
+
+fn planned(reading: &mut Reading<'_>, told: &ini::Properties, terms: &mut planner::Terms) {
+    let section = "zones";
+    let mut number =
+        |key: &str, range: [f64; 2], otherwise: f64| reading.number(section, told, key, range, otherwise);
+    terms.period_ms = number("period_ms", [50.0, 10_000.0], terms.period_ms);
+    terms.valid_ms = number("valid_ms", [500.0, 600_000.0], terms.valid_ms);
+    terms.renew_ms = number("renew_ms", [100.0, 60_000.0], terms.renew_ms.min(terms.valid_ms / 3.0));
+    terms.step_ms = number("step_ms", [50.0, 600_000.0], terms.step_ms);
+    terms.fill = number("fill_percent", [10.0, 100.0], terms.fill * 100.0) / 100.0;
+    terms.near_fill = number("near_fill_percent", [10.0, 100.0], terms.near_fill * 100.0) / 100.0;
+    terms.leave_step = number("leave_percent", [1.0, 100.0], terms.leave_step * 100.0) / 100.0;
+    terms.return_step = number("return_percent", [1.0, 100.0], terms.return_step * 100.0) / 100.0;
+    terms.well_ms = number("well_ms", [0.0, 3_600_000.0], terms.well_ms);
+    terms.well_most_ms = terms.well_most_ms.max(terms.well_ms);
+    terms.way_most_ms = number("way_most_ms", [0.0, 60_000.0], terms.way_most_ms);
+    if terms.renew_ms * 2.0 > terms.valid_ms {
+        reading.say(section, "renew_ms is more than half of valid_ms: one word lost would end the plan");
+    }
+}
+
 fn copies(reading: &mut Reading<'_>, told: &ini::Properties) -> plovershelf_copies::copies::Terms {
     let section = "copies";
     let mut terms = plovershelf_copies::copies::Terms::default();
@@ -230,6 +327,21 @@
         assert_eq!(group.ways.len(), 1);
     }
 
+    #[test]
+    fn zones_and_ways_become_a_topology_and_what_does_not_fit_is_told() {
+        let zones = "[zone a]\nregion = north\n[zone b]\nregion = south\n[way a b]\nms = 12\n[zones]\nvalid_ms = 3000\n";
+        let group = read("group.ini", &format!("{WELL}{zones}")).expect("a good file");
+        let told = group.zones.expect("zones");
+        assert_eq!((told.topology.len(), told.topology.way_ms(1, 0), told.terms.valid_ms), (2, 12.0, 3000.0));
+        let wrong = "[zone b]\n[way b q]\nms = many\n[zones]\nfil = 3\nrenew_ms = 5000\n";
+        let wrong = read("g.ini", &format!("{WELL}{wrong}")).expect_err("much").0;
+        for what in
+            ["[zone a]", "[way b q] ms = \"many\"", "names two zones", "fil is no key", "renew_ms is more"]
+        {
+            assert!(wrong.iter().any(|line| line.contains(what)), "{what}: {wrong:?}");
+        }
+    }
+
     #[test]
     fn all_that_is_wrong_is_told_at_once_with_its_key() {
         let text = "[group]\nname = two words\nlisten = 0.0.0.0:1\nseeds = here\ncouncil = n1, n1\nvoters = 2\nlease = 5\n[grop]\n";
--- a/crates/plovershelf-server/src/group.rs
+++ b/crates/plovershelf-server/src/group.rs
@@ -7,8 +7,10 @@
 mod copied;
 mod folder;
 mod links;
+mod zoned;
 
 pub use copied::{Asked, Told};
+pub use zoned::Counted;
 
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -21,11 +23,12 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use plovershelf_group::council::Id;
-use plovershelf_group::frames::Wire;
+use plovershelf_group::frames::{self, Wire};
 use plovershelf_group::group::{Event, Group, Out, Start};
 use plovershelf_group::members::About;
 use plovershelf_group::status::{Answer, CopiesStatus, HeldStatus, Question, Status, TicketStatus};
 use plovershelf_operator::group::Group as Setup;
+use plovershelf_zones::plan::BANDS;
 
 use folder::Folder;
 use links::Links;
@@ -35,6 +38,8 @@
 pub struct Pulse {
     at_ms: AtomicU64,
     fit: AtomicU64,
+    /// Bits of f64 figures: cores; work asked by bands; answers, and those in time.
+    figures: [AtomicU64; 3 + BANDS],
 }
 
 impl Pulse {
@@ -43,6 +48,30 @@
         self.fit.store(u64::from(fit), Ordering::Relaxed);
     }
 
+    /// What the owner has counted since its start; told by it alone.
+    pub fn count(&self, cores: f64, counted: &zoned::Counted) {
+        let figures = [cores, counted.answered, counted.in_time].into_iter().chain(counted.asked);
+        for (place, figure) in self.figures.iter().zip(figures) {
+            place.store(figure.to_bits(), Ordering::Relaxed);
+        }
+    }
+
+    fn figure(&self, place: usize) -> f64 {
+        f64::from_bits(self.figures[place].load(Ordering::Relaxed))
+    }
+
+    fn cores(&self) -> f64 {
+        self.figure(0)
+    }
+
+    fn counted(&self) -> zoned::Counted {
+        zoned::Counted {
+            asked: std::array::from_fn(|band| self.figure(3 + band)),
+            answered: self.figure(1),
+            in_time: self.figure(2),
+        }
+    }
+
     /// It goes round at least once a second; so one that has not for longer is stuck.
     fn fit(&self) -> bool {
         self.fit.load(Ordering::Relaxed) != 0
@@ -119,6 +148,9 @@
         kept,
         seed: folder::drawn(),
     };
+    let zoned =
+        setup.zones.clone().map(|zones| zoned::Zoned::new(zones, &setup.zone, now_ms()).map(Box::new));
+    let zoned = zoned.transpose()?;
     let (inbox, incoming) = async_channel::bounded(INBOX);
     let own = inbox.clone();
     let run = move || {
@@ -133,8 +165,10 @@
         let (own, life) = (group.about().id, group.members().me().life);
         let copies = setup.copies.clone().zip(told);
         let copies = copies.map(|(terms, told)| copied::Copied::new(own, life, terms, told));
+        let zoned = zoned.map(|zones| *zones);
         let keeper = Keeper {
             copies,
+            zoned,
             group,
             name: setup.name.clone(),
             folder,
@@ -157,6 +191,7 @@
 struct Keeper {
     group: Group,
     copies: Option<copied::Copied>,
+    zoned: Option<zoned::Zoned>,
     name: String,
     folder: Option<Folder>,
     folder_again_at: Option<f64>,
@@ -188,7 +223,13 @@
 
     fn next_at(&self) -> f64 {
         let copies = self.copies.as_ref().map_or(f64::INFINITY, copied::Copied::next_at);
-        self.group.next_at().min(copies).min(self.pulse_at).min(self.folder_again_at.unwrap_or(f64::INFINITY))
+        let zoned = self.zoned.as_ref().map_or(f64::INFINITY, zoned::Zoned::next_at);
+        self.group
+            .next_at()
+            .min(copies)
+            .min(zoned)
+            .min(self.pulse_at)
+            .min(self.folder_again_at.unwrap_or(f64::INFINITY))
     }
 
     fn tick(&mut self) {
@@ -206,10 +247,26 @@
         if let Some(copies) = self.copies.as_mut().filter(|copies| copies.next_at() <= now) {
             copies.tick(now);
         }
+        self.plan_zones(now);
         self.carry_out();
         self.go_when_handed_on(now);
     }
 
+    fn plan_zones(&mut self, now: f64) {
+        let Some(zoned) = self.zoned.as_mut() else { return };
+        let zoned::Due { say, propose } = zoned.tick(now, &self.pulse, &self.group);
+        if let Some((leader, bytes)) = say {
+            let seat = self.group.view().members.get(&leader).map(|seat| (seat.address, seat.name.clone()));
+            if let Some((address, name)) = seat {
+                let from = self.group.about().id;
+                self.links.send(address, Some(&name), &Wire::Part { from, to: leader, bytes });
+            }
+        }
+        if let Some((number, bytes)) = propose {
+            self.group.propose(now, zoned::KEY, number, bytes);
+        }
+    }
+
     fn go_when_handed_on(&mut self, now: f64) {
         let Some(left) = self.copies.as_mut().and_then(|copies| copies.may_go(now)) else { return };
         if left == 0 {
@@ -233,7 +290,10 @@
                 Wire::Ask(question) => self.asked(question, from_here, answer),
                 Wire::Answer(_) => {}
                 Wire::Part { from, to, bytes } => {
-                    if let Some(copies) = self.copies.as_mut() {
+                    let own = self.group.about().id;
+                    if let Some(zoned) = self.zoned.as_mut().filter(|_| to == own) {
+                        zoned.hear(now, from, &bytes);
+                    } else if let Some(copies) = self.copies.as_mut() {
                         copies.hear(now, from, to, &bytes);
                     }
                 }
@@ -261,6 +321,12 @@
         let now = now_ms();
         let told = match question {
             Question::Copies | Question::Ticket { .. } => self.told_of_copies(question),
+            Question::Part { part, bytes } => match (self.zoned.as_mut(), frames::decode(&bytes)) {
+                (Some(zoned), Ok(ask)) if part == zoned::KEY => {
+                    Answer::Part(frames::plain(&zoned.asked(now, ask, from_here, &self.group)))
+                }
+                _ => Answer::Refused(format!("nothing here is asked of {part:?}")),
+            },
             Question::Status => Answer::Status(Box::new(Status::of(&self.group, &self.name, now))),
             _ if !from_here => {
                 Answer::Refused("such a command is taken on the member's own machine alone".into())
@@ -377,6 +443,12 @@
         }
     }
 
+    fn heed_plan(&mut self) {
+        if let (Some(zoned), Some(word)) = (self.zoned.as_mut(), self.group.word(zoned::KEY)) {
+            zoned.agreed(now_ms(), word.number, &word.bytes);
+        }
+    }
+
     fn try_folder(&mut self, now: f64) {
         let Some(folder) = self.folder.as_mut() else { return };
         match folder.rewrite(self.group.council().kept()) {
@@ -392,6 +464,8 @@
     fn tell(&mut self, event: Event) {
         match event {
             Event::View(view) => {
+                // What was decided may have come whole, with a plan in it.
+                self.heed_plan();
                 if let Some(copies) = self.copies.as_mut() {
                     copies.view_is(now_ms(), &view);
                 }
@@ -409,7 +483,10 @@
                 let name = leader.and_then(|id| self.group.name_of(id)).unwrap_or_default();
                 tracing::info!(event = "leader", name, "leader {name:?}")
             }
-            Event::Word { key, number } => tracing::debug!(event = "word", key, number, "agreed"),
+            Event::Word { key, number } => {
+                tracing::debug!(event = "word", key, number, "agreed");
+                self.heed_plan();
+            }
             Event::Proposed { .. } => {}
             Event::Recovered(outcome) => {
                 let answer = match &outcome {
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -66,6 +66,8 @@
     heard_of: bool,
     /// A link broke before the agent had surely read the launch, and it was not written anew.
     doubtful: bool,
+    /// When it was read.
+    came: f64,
     /// What its run asks of the ledger, the number of the call that is out for it, and a reply that no link took
     /// yet.
     call: Vec<u8>,
@@ -87,6 +89,9 @@
     told_failed: bool,
 }
 
+/// What an invocation is held to take of a core before any has run.
+const FIRST_WORK_MS: f64 = 20.0;
+
 /// The place of a launch that no link has taken; the number of no call.
 const NEVER: u64 = 0;
 
@@ -130,6 +135,11 @@
     /// Pools of offerings, where an operator has set any, and when the log heard of them.
     pooled: Option<pooled::Pooled>,
     pools_told_at: f64,
+    /// What a plan of zones needs to know, counted where there is a group; the work of an invocation, by what the cores were busy.
+    counted: crate::group::Counted,
+    runs_told: f64,
+    work_ms: f64,
+    worked_at: f64,
     /// Where a group wants to know that this goes round and does its work.
     pulse: Option<std::sync::Arc<crate::group::Pulse>>,
     /// Takes what is wanted of the copies, where tickets have any.
@@ -186,6 +196,10 @@
             complaints: (0, 0),
             pooled: None,
             pools_told_at: 0.0,
+            counted: Default::default(),
+            runs_told: 0.0,
+            work_ms: FIRST_WORK_MS,
+            worked_at: 0.0,
             pulse: None,
             copies: None,
             handed_on: true,
@@ -227,6 +241,7 @@
             self.settle();
             if let Some(pulse) = &self.pulse {
                 pulse.beat(self.backend.is_some() && self.agent.is_some());
+                pulse.count(self.start.facts.cores, &self.counted);
             }
         }
     }
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -38,6 +38,9 @@
                 if self.gauges_for == Some(tag) {
                     self.gauges_for = None;
                     let gauges = self.start.gauges(gauges);
+                    if self.pulse.is_some() {
+                        self.learn_work(gauges.cores_busy);
+                    }
                     self.wake(Wake::Periodic, gauges);
                 }
             }
@@ -57,6 +60,16 @@
         }
     }
 
+    /// What an invocation takes of a core: what the cores were busy with since the last sample, shared by the runs that ended.
+    fn learn_work(&mut self, busy: Option<f64>) {
+        let span = self.now - std::mem::replace(&mut self.worked_at, self.now);
+        let runs = std::mem::take(&mut self.runs_told);
+        let worked = busy.unwrap_or(0.0) * self.start.facts.cores * span;
+        if runs >= 1.0 && span > 0.0 && span < 5000.0 && worked > 0.0 {
+            self.work_ms += (worked / runs - self.work_ms) * (runs / (runs + 50.0));
+        }
+    }
+
     pub(super) fn agent_up(&mut self, fresh: bool, up_for_ms: f64, orders: Sender<Vec<u8>>) {
         self.agent = Some(orders);
         if self.backend.is_none() {
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -145,6 +145,7 @@
             launched: None,
             heard_of: false,
             doubtful: false,
+            came: self.now,
             call: Vec::new(),
             call_number: NEVER,
             undelivered: None,
@@ -158,9 +159,20 @@
             told_failed: false,
         };
         self.open.insert(arrival.id, open);
+        if self.pulse.is_some() {
+            self.count_asked(arrival.offering, arrival.work_hint_ms);
+        }
         self.decide(|backend, now| backend.arrived(now, arrival));
     }
 
+    /// For a plan of zones: work by bands of what it earns, against the offering that earns most.
+    fn count_asked(&mut self, offering: usize, hint_ms: Option<f64>) {
+        let facts = &self.start.facts;
+        let most = facts.offerings.iter().map(|terms| terms.revenue).fold(0.0, f64::max);
+        let rank = if most > 0.0 { facts.offerings[offering].revenue / most } else { 0.0 };
+        self.counted.asked[plovershelf_zones::plan::band(rank)] += hint_ms.unwrap_or(self.work_ms);
+    }
+
     /// The caller takes no answer any more.
     pub(super) fn gone(&mut self, id: u32) {
         self.close_answer(id);
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -79,6 +79,13 @@
             return;
         }
         let (connection, seqid) = (open.connection, open.seqid);
+        if self.pulse.is_some() && matches!(ending, Ending::Succeeded | Ending::Scrapped) {
+            let limit = self.start.facts.offerings[open.offering].hard_limit_ms;
+            self.counted.answered += 1.0;
+            self.counted.in_time +=
+                f64::from(u8::from(ending == Ending::Succeeded && self.now - open.came <= limit));
+            self.runs_told += 1.0;
+        }
         let mut words = Words { advice: self.advice, ..Words::default() };
         let frame = match ending {
             Ending::Succeeded => front::succeeded(seqid, &open.result, &words),
--- a/crates/plovershelf-zones/src/lib.rs
+++ b/crates/plovershelf-zones/src/lib.rs
@@ -5,6 +5,7 @@
 //! ([`seen::Seen::sums`]), works out where the traffic of each zone should go ([`planner::Planner::tick`]), and has the plan agreed
 //! under a number; each member and caller takes it over and acts by it ([`follow::Follower`]).
 
+pub mod asks;
 pub mod broken;
 pub mod flow;
 pub mod follow;
--- a/crates/plovershelf-zones/src/plan.rs
+++ b/crates/plovershelf-zones/src/plan.rs
@@ -201,6 +201,12 @@
         pairs.map(|(a, b)| (a - b).abs()).fold(0.0, f64::max)
     }
 
+    /// The largest difference of what stays near.
+    pub fn near_differs(&self, other: &Plan) -> f64 {
+        let near = |plan: &Plan, row: usize| plan.share(row / BANDS, row % BANDS, row / BANDS);
+        (0..self.shares.len()).map(|row| (near(self, row) - near(other, row)).abs()).fold(0.0, f64::max)
+    }
+
     /// Whether it may be acted by at all: rows that sum to 1, nothing below 0, nothing sent where it is off.
     pub fn is_sound(&self, zones: usize) -> bool {
         let row = |row: &Vec<f64>| {
--- a/crates/plovershelf-zones/src/planner.rs
+++ b/crates/plovershelf-zones/src/planner.rs
@@ -85,6 +85,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Zone {
     stand: Stand,
+    looked: bool,
     /// What it may be asked to carry.
     may: f64,
     /// The most that it carried of late, which its steps are parts of.
@@ -141,6 +142,7 @@
     pub fn new(topology: Topology, terms: Terms) -> Self {
         let zone = Zone {
             stand: Stand::Well,
+            looked: false,
             may: 0.0,
             best: 0.0,
             asked: [0.0; BANDS],
@@ -294,7 +296,7 @@
         let since = self.ticked_at.map_or(f64::INFINITY, |at| now - at);
         self.ticked_at = Some(now);
         let part = 1.0 - (-since / self.terms.smooth_ms).exp();
-        for (zone, sum) in self.zones.iter_mut().zip(seen.sums(now)) {
+        for ((zone, sum), off) in self.zones.iter_mut().zip(seen.sums(now)).zip(&self.agreed.off) {
             // A zone that tells nothing is asked what it was asked before, or what its callers take elsewhere.
             for (asked, told) in zone.asked.iter_mut().zip(sum.asked) {
                 if sum.members > sum.silent {
@@ -303,7 +305,7 @@
                     *asked = (*asked * (1.0 - part * 0.01)).max(told);
                 }
             }
-            zone.look(now, sum, &self.terms);
+            zone.look(now, sum, *off, &self.terms);
         }
         // While a way counts as cut nothing is sent by it, so nothing more is seen of it: it is tried again after a while.
         self.cut_ways.retain(|(_, until)| *until > now);
@@ -421,14 +423,20 @@
 }
 
 impl Zone {
-    fn look(&mut self, now: f64, sum: Sum, terms: &Terms) {
+    fn look(&mut self, now: f64, sum: Sum, off: bool, terms: &Terms) {
         let carries = sum.carries;
         if now - self.fell_at > terms.forget_ms {
             self.well_ms = terms.well_ms;
         }
         self.best = if carries >= self.best { carries } else { self.best + (carries - self.best) * 0.002 };
-        let first = self.best <= carries && self.may == 0.0 && self.fell_at == f64::NEG_INFINITY;
-        if broken::is(Broken::NoHysteresis) || first {
+        // The first look: what was agreed to be off mends as after a fall, all else is as it is.
+        if !std::mem::replace(&mut self.looked, true) {
+            let poor = off || carries <= 0.0;
+            self.stand = if poor { Stand::Poor { well_since: None } } else { Stand::Well };
+            self.may = if poor { 0.0 } else { carries };
+            return;
+        }
+        if broken::is(Broken::NoHysteresis) {
             self.may = carries;
             return;
         }
