--- a/crates/plovershelf-cli/src/trial/copies.rs
+++ b/crates/plovershelf-cli/src/trial/copies.rs
@@ -7,6 +7,7 @@
 
 use async_io::Timer;
 use plovershelf_group::status::{Answer, Question};
+use plovershelf_model::audit::{self, Event, Seen};
 use plovershelf_model::copies::schedule as drawn;
 use plovershelf_model::schedule::{Fault, Folder, Schedule, Step};
 use plovershelf_model::statistics::Spread;
@@ -66,6 +67,14 @@
     wrong: Cell<u64>,
     open: Cell<u64>,
     took: RefCell<Spread>,
+    history: RefCell<Vec<Event>>,
+}
+
+impl Told {
+    fn answered(&self, at: f64, ticket: u64, result: Option<&[u8]>) {
+        let result = result.map(|bytes| u64::from(crc32fast::hash(bytes)));
+        self.history.borrow_mut().push(Event { at, seen: Seen::Answered { ticket, result } });
+    }
 }
 
 fn count(cell: &Cell<u64>) {
@@ -84,6 +93,7 @@
     doubt: u64,
     rules_broken: u64,
     peak_kb: u64,
+    history: Vec<Event>,
 }
 
 /// One caller's tries of a ticket.
@@ -125,6 +135,7 @@
         };
         match futures_lite::future::or(plain.once(member, &asked), late).await {
             Ended::Succeeded(result) => {
+                told.answered(clock.now(), work.number, Some(&result));
                 if result != work.result() {
                     count(&told.wrong);
                 }
@@ -139,6 +150,7 @@
                 return;
             }
             Ended::Scrapped => {
+                told.answered(clock.now(), work.number, None);
                 let mut story = story.borrow_mut();
                 story.scrapped += 1;
                 story.after_success += u32::from(story.succeeded);
@@ -283,6 +295,26 @@
             rules_broken += u64::from(backend.crashes);
         }
         let effects_twice = fleet.account.borrow().launched_twice().len() as u64;
+        let mut history = told.history.take();
+        let steps = done.borrow();
+        history.extend(steps.iter().map(|done| Event {
+            at: done.at,
+            seen: Seen::Fault {
+                text: format!(
+                    "{} {}",
+                    if done.begins { "begins" } else { "ends" },
+                    schedule.steps[done.step]
+                ),
+            },
+        }));
+        history.sort_by(|a, b| a.at.total_cmp(&b.at));
+        // Agents keep no times of launches: these stand at the end.
+        let at = clock.now();
+        let launched = |(ticket, (place, life)): (u64, (usize, u32))| Event {
+            at,
+            seen: Seen::Launched { ticket, process: format!("n{}, start {life}", place + 1) },
+        };
+        history.extend(fleet.account.borrow().ticketed_launches().map(launched));
         let stories = stories.borrow();
         let all = || stories.iter().map(|story| story.borrow());
         Ok(Came {
@@ -293,6 +325,7 @@
             doubt: all().filter(|story| story.scrapped > 0).count() as u64,
             low_s_worst: low_most.get() / 1000.0,
             round_trip_ms,
+            history,
             rules_broken,
             peak_kb,
             told,
@@ -314,6 +347,7 @@
     figures.put("effects_twice", with.effects_twice as f64, none);
     figures.put("succeeded_then_other", with.other_after as f64, none);
     // Where nobody who knows can be reached in time a repeat is told to come back: not a verdict, and nothing runs on it.
+    figures.put("promises_broken", audit::judge(&with.history).broken.len() as f64, none);
     figures.told("dismissed_after_verdict", with.dismissed_after_verdict as f64);
     figures.put("verdicts_that_differ", with.verdicts_that_differ as f64, none);
     figures.told("told_failed_share", with.doubt as f64 / tickets.max(1.0));
@@ -350,6 +384,11 @@
             .map_err(|error| format!("{}: {error}", file.display()))?;
     }
     let with = play(ground, &schedule, true, DEMAND)?;
+    if let Some(logs) = &ground.logs {
+        let file = logs.join("history.jsonl");
+        std::fs::write(&file, audit::written(&with.history))
+            .map_err(|error| format!("{}: {error}", file.display()))?;
+    }
     let without = play(ground, &schedule, false, DEMAND)?;
     let kills: Vec<&Step> =
         schedule.steps.iter().filter(|step| matches!(step.fault, Fault::Kill { .. })).collect();
--- a/crates/plovershelf-model/src/audit.rs
+++ b/crates/plovershelf-model/src/audit.rs
@@ -19,6 +19,10 @@
     View { memory: u64, era: u64, number: u64, members: Vec<u64> },
     /// A memory that acts by a view, not before the time told.
     Acts { memory: u64, era: u64, view: u64 },
+    /// An agent launched a ticket's work in a backend's process.
+    Launched { ticket: u64, process: String },
+    /// A caller read how a ticket ended: `result` is a hash of what it got, or nothing where it was told that it failed.
+    Answered { ticket: u64, result: Option<u64> },
     /// What stands decided at a place of the log.
     Decided { memory: u64, era: u64, index: u64, hash: u64 },
 }
@@ -46,6 +50,8 @@
 pub const NOTHING_FORGOTTEN: &str = "nothing-agreed-forgotten";
 pub const NOT_PAST_LEASE: &str = "nobody-acts-past-its-lease";
 pub const BLANK_IS_NEW: &str = "blank-is-someone-new";
+pub const NO_EFFECT_TWICE: &str = "no-effect-twice";
+pub const ONE_VERDICT: &str = "one-verdict";
 
 /// Of each promise at most so many are told.
 const TOLD_MOST: usize = 8;
@@ -60,6 +66,8 @@
     /// In force since, newest last: the views of all eras by number, with the time they were first seen.
     numbers: BTreeMap<u64, (Vec<u64>, usize, f64)>,
     lost: BTreeMap<u64, usize>,
+    launched: BTreeMap<u64, (String, usize)>,
+    succeeded: BTreeMap<u64, (u64, usize)>,
     faults: Vec<usize>,
     pub broken: Vec<Broken>,
 }
@@ -74,6 +82,26 @@
             Seen::Lost { memory } => {
                 self.lost.insert(*memory, place);
             }
+            Seen::Launched { ticket, process } => {
+                let (first, at) = self.launched.entry(*ticket).or_insert((process.clone(), place)).clone();
+                if at != place {
+                    let told = format!("ticket {ticket} was launched in {first} and in {process}");
+                    self.breaks(NO_EFFECT_TWICE, event.at, place, vec![at], told);
+                }
+            }
+            // A caller that was told of failure may have been told so before the end was known; after a result, nothing else.
+            Seen::Answered { ticket, result } => {
+                let before = self.succeeded.get(ticket).copied();
+                match (before, result) {
+                    (None, Some(result)) => drop(self.succeeded.insert(*ticket, (*result, place))),
+                    (Some((first, at)), result) if *result != Some(first) => {
+                        let told =
+                            format!("ticket {ticket} was answered otherwise after its result was read");
+                        self.breaks(ONE_VERDICT, event.at, place, vec![at], told);
+                    }
+                    _ => {}
+                }
+            }
             Seen::Leads { memory, era, term } => {
                 self.speaks(*memory, event.at, place);
                 let (first, at) = *self.leaders.entry((*era, *term)).or_insert((*memory, place));
@@ -211,6 +239,10 @@
             view(4.0, 2, &[1, 3]),
             at(5.0, Seen::Decided { memory: 1, era: 1, index: 7, hash: 9 }),
             at(5.5, Seen::Lost { memory: 2 }),
+            at(5.6, Seen::Answered { ticket: 8, result: None }),
+            at(5.7, Seen::Launched { ticket: 7, process: "n1".into() }),
+            at(5.8, Seen::Answered { ticket: 7, result: Some(5) }),
+            at(5.9, Seen::Answered { ticket: 7, result: Some(5) }),
         ];
         assert!(judge(&well).broken.is_empty());
         let wrong = [
@@ -219,6 +251,9 @@
             (at(6.0, Seen::Leads { memory: 3, era: 1, term: 2 }), ONE_LEADER_A_TERM),
             (at(6.0, Seen::Decided { memory: 3, era: 1, index: 7, hash: 8 }), NOTHING_FORGOTTEN),
             (at(6.0, Seen::Leads { memory: 2, era: 1, term: 9 }), BLANK_IS_NEW),
+            (at(6.0, Seen::Launched { ticket: 7, process: "n2".into() }), NO_EFFECT_TWICE),
+            (at(6.0, Seen::Answered { ticket: 7, result: None }), ONE_VERDICT),
+            (at(6.0, Seen::Answered { ticket: 7, result: Some(6) }), ONE_VERDICT),
         ];
         for (event, promise) in wrong {
             let mut events = well.clone();
--- a/crates/plovershelf-server/src/group/zoned.rs
+++ b/crates/plovershelf-server/src/group/zoned.rs
@@ -16,8 +16,8 @@
 
 /// Under which the plan is agreed on.
 pub const KEY: &str = "zones";
-/// A new leader hears from all first.
-const HEAR_MS: f64 = 1800.0;
+/// A new leader hears from all first; they report at once when they know of it.
+const HEAR_MS: f64 = 1000.0;
 const HISTORY: usize = 32;
 /// What was counted is looked at over so long, in periods.
 const PERIODS: usize = 4;
@@ -31,6 +31,7 @@
     outside: BTreeMap<u64, Outside>,
     counted: VecDeque<(f64, Counted)>,
     period_at: f64,
+    reported_to: Option<Id>,
     leads_since: Option<f64>,
     /// The number that was proposed last, until it is agreed on or given up.
     proposed: Option<(u64, f64)>,
@@ -68,6 +69,7 @@
             outside: BTreeMap::new(),
             counted: VecDeque::new(),
             period_at: now,
+            reported_to: None,
             leads_since: None,
             proposed: None,
             history: VecDeque::new(),
@@ -100,9 +102,11 @@
     /// Once a period: this member's report to the leader, and where it leads the next plan. Tells what goes to whom, and what is
     /// to be agreed on.
     pub fn tick(&mut self, now: f64, pulse: &Pulse, group: &Group) -> Due {
-        if now < self.period_at {
+        let leader = group.leader();
+        if now < self.period_at && leader == self.reported_to {
             return Due::default();
         }
+        self.reported_to = leader;
         self.period_at = now + self.planner.terms().period_ms;
         let report = self.report(now, pulse);
         let outside: Vec<(u64, Outside)> =
@@ -110,7 +114,7 @@
         if !group.council().leads() {
             self.leads_since = None;
             let say = Say { zone: self.zone.clone(), report, outside };
-            return Due { say: group.leader().map(|leader| (leader, plain(&say))), ..Due::default() };
+            return Due { say: leader.map(|leader| (leader, plain(&say))), ..Due::default() };
         }
         self.seen.hear(now, group.about().id.0, self.place, report);
         outside.into_iter().for_each(|(caller, outside)| self.seen.hear_outside(now, caller, outside));
--- a/crates/plovershelf-server/tests/group.rs
+++ b/crates/plovershelf-server/tests/group.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use plovershelf_group::frames::{decode, encode, unframed, Hello, Wire};
+use plovershelf_group::frames::{decode, encode, plain, unframed, Hello, Wire};
 use plovershelf_group::status::{Answer, Question, Status};
 use plovershelf_model::schedule::{Fault, Folder};
 use plovershelf_standins::backend::{Fleet, Plan};
@@ -16,6 +16,9 @@
 use plovershelf_standins::scripted::SETTINGS;
 use plovershelf_standins::work::{Effect, Work};
 use plovershelf_standins::{cores, ledger, rig, Clock, Executor};
+use plovershelf_zones::asks::{Ask, Status as ZonesStatus, Told};
+use plovershelf_zones::plan::Plan as ZonesPlan;
+use plovershelf_zones::planner::Wish;
 
 fn plan(group: bool) -> Plan {
     Plan {
@@ -253,6 +256,110 @@
     async_io::block_on(executor.run(run));
 }
 
+fn zones(at: SocketAddr, ask_of: &Ask) -> Option<Told> {
+    let question = Question::Part { part: "zones".into(), bytes: plain(ask_of) };
+    match ask(at, question)? {
+        Answer::Part(bytes) => decode(&bytes).ok(),
+        _ => None,
+    }
+}
+
+/// Waits until that holds of the plans that all the named members act by.
+async fn until_planned(what: &str, fleet: &Fleet, members: &[usize], holds: impl Fn(&ZonesStatus) -> bool) {
+    let began = Instant::now();
+    loop {
+        let at: Vec<SocketAddr> =
+            members.iter().map(|m| fleet.rig.as_ref().expect("a group").members[*m].address).collect();
+        let all = off_thread(move || {
+            at.into_iter().map(|at| zones(at, &Ask::Status)).collect::<Option<Vec<Told>>>()
+        })
+        .await;
+        let statuses = all.iter().flatten().map(|told| match told {
+            Told::Status(status) => status.acts && holds(status),
+            _ => false,
+        });
+        if all.is_some() && statuses.into_iter().all(|holds| holds) {
+            return;
+        }
+        assert!(began.elapsed() < Duration::from_secs(60), "{what}: {all:#?}");
+        Timer::after(Duration::from_millis(50)).await;
+    }
+}
+
+/// The stand-ins need this thread, so another does the asking.
+async fn off_thread<T: Send + 'static>(work: impl FnOnce() -> Option<T> + Send + 'static) -> Option<T> {
+    let (told, asked) = async_channel::bounded(1);
+    std::thread::spawn(move || told.send_blocking(work()));
+    asked.recv().await.ok().flatten()
+}
+
+/// One plan for all: a zone that is lost is off in it, and on again when it is back; a shift by hand is taken by the leader alone, by
+/// one operator at a time, and ended by a word.
+#[test]
+fn zones_are_left_and_returned_to_by_one_agreed_plan() {
+    let executor: Executor = Rc::new(async_executor::LocalExecutor::new());
+    let clock = Clock::start();
+    let mut plan = plan(true);
+    let more =
+        "\n[zone z1]\nregion = r1\n[zone z2]\nregion = r1\n[zone z3]\nregion = r1\n[zones]\nwell_ms = 500\n";
+    plan.group = plan.group.map(|group| rig::Plan { more: more.into(), ..group });
+    let mut fleet = Fleet::start(&executor, clock, &plan).expect("three backends");
+    let run = async {
+        until("founded", &fleet, &[0, 1, 2], agreed(3)).await;
+        assert!(fleet.up(clock, 20_000.0).await);
+        let near = |status: &ZonesStatus| {
+            !status.plan.off.contains(&true) && status.plan.near_differs(&ZonesPlan::near(3)) < 1e-6
+        };
+        until_planned("all near", &fleet, &[0, 1, 2], near).await;
+        fleet.fault(&Fault::Kill { member: 1, folder: Folder::Wiped }, true, 3);
+        until_planned("z2 is off", &fleet, &[0, 2], |status| status.plan.off == [false, true, false]).await;
+        fleet.fault(&Fault::Kill { member: 1, folder: Folder::Wiped }, false, 3);
+        until_planned("z2 is back", &fleet, &[0, 1, 2], near).await;
+        let wish = |by: &str| {
+            Ask::Shift(Wish {
+                zone: "z3".into(),
+                for_ms: 60_000.0,
+                why: "work".into(),
+                by: by.into(),
+                forced: false,
+            })
+        };
+        // Whoever does not lead says who does; the one that leads takes it.
+        let at: Vec<SocketAddr> =
+            fleet.rig.as_ref().expect("a group").members.iter().map(|m| m.address).collect();
+        let mut taken = None;
+        let began = Instant::now();
+        while taken.is_none() && began.elapsed() < Duration::from_secs(60) {
+            for at in at.clone() {
+                let shift = wish("ann");
+                match off_thread(move || zones(at, &shift)).await {
+                    Some(Told::Done(_)) => taken = Some(at),
+                    Some(Told::Refused(why)) => assert!(why.contains("leads"), "{why}"),
+                    other => assert!(other.is_none(), "{other:?}"),
+                }
+                if taken.is_some() {
+                    break;
+                }
+            }
+        }
+        let leader = taken.expect("one leads");
+        until_planned("z3 is shifted", &fleet, &[0, 1, 2], |status| {
+            status.plan.off == [false, false, true] && status.plan.shifts.len() == 1
+        })
+        .await;
+        let second = wish("bob");
+        let second = off_thread(move || zones(leader, &second)).await;
+        assert!(matches!(&second, Some(Told::Refused(why)) if why.contains("by ann already")), "{second:?}");
+        let back = off_thread(move || zones(leader, &Ask::Return { zone: "z3".into() })).await;
+        assert!(matches!(back, Some(Told::Done(_))), "{back:?}");
+        until_planned("z3 is returned to", &fleet, &[0, 1, 2], |status| {
+            near(status) && status.plan.shifts.is_empty()
+        })
+        .await;
+    };
+    async_io::block_on(executor.run(run));
+}
+
 /// Threads, or descriptors but for files and pipes, which a process may be given by the one that starts it.
 fn counted(fleet: &Fleet, what: &str) -> usize {
     let id = fleet.backends[0].id().expect("it runs");
--- a/crates/plovershelf-standins/src/account.rs
+++ b/crates/plovershelf-standins/src/account.rs
@@ -75,6 +75,13 @@
         launches.into_iter().filter(|(_, begun)| *begun > 1).map(|(number, _)| number).collect()
     }
 
+    /// All launches of ticketed invocations, with the process that had them.
+    pub fn ticketed_launches(&self) -> impl Iterator<Item = (u64, Life)> + '_ {
+        let ticketed = |number: &u64| self.effects.get(number) == Some(&Effect::Ticketed);
+        let runs = self.runs.iter().filter(move |((number, _), _)| ticketed(number));
+        runs.flat_map(|(key, seen)| std::iter::repeat_n(*key, seen.begun as usize))
+    }
+
     /// Has any run of it ended well?
     pub fn made(&self, number: u64) -> bool {
         let lives = (number, (0, 0))..=(number, (usize::MAX, u32::MAX));
--- a/crates/plovershelf-zones/src/planner.rs
+++ b/crates/plovershelf-zones/src/planner.rs
@@ -68,7 +68,7 @@
             well_most_ms: 48_000.0,
             forget_ms: 60_000.0,
             least_change: 0.04,
-            smooth_ms: 600.0,
+            smooth_ms: 1500.0,
             way_most_ms: 200.0,
             cut_way_ms: 15_000.0,
         }
