A caller's guide to zones: what it heard, what it saw, what it tells; the trial uses it

Need: callers that go by the plan had their side written in the trial alone, so no program could use it. Change: `plovershelf_zones::guide`: the first zone of a call and the next, what was tried and answered, what goes away from home, told to the member that is asked; a plan holds no longer than it does where it was heard. The trial's callers go by it.

--- a/crates/plovershelf-cli/src/trial/zones.rs
+++ b/crates/plovershelf-cli/src/trial/zones.rs
@@ -14,10 +14,9 @@
 use plovershelf_standins::work::{Effect, Work};
 use plovershelf_standins::{cores, rig, Clock};
 use plovershelf_zones::asks::{Ask, Told};
-use plovershelf_zones::follow::Follower;
-use plovershelf_zones::plan::{band, Plan, Topology, Zone, BANDS};
+use plovershelf_zones::guide::Guide;
+use plovershelf_zones::plan::{Topology, Zone, BANDS};
 use plovershelf_zones::planner::{shares, Terms};
-use plovershelf_zones::seen::Outside;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -86,12 +85,9 @@
     effects_twice: u64,
 }
 
-/// One origin zone's callers: where they go, and what they saw of each zone of late.
+/// One origin zone's callers: by the plan, and what those that judge alone felt of each zone of late.
 struct Origin {
-    follower: RefCell<Follower>,
-    tried: RefCell<Vec<[f64; 2]>>,
-    away: RefCell<[f64; BANDS]>,
-    /// Of those that judge alone: each zone's failures of late.
+    guide: RefCell<Guide>,
     felt: RefCell<Vec<[f64; 2]>>,
 }
 
@@ -108,11 +104,8 @@
         .collect()
 }
 
-/// Where one call goes, by the plan or by what its origin felt itself.
-fn choose(origin: &Origin, from: usize, now: f64, rank: f64, draw: f64, led: bool) -> Option<usize> {
-    if led {
-        return origin.follower.borrow().choose(now, from, rank, draw, |_| true);
-    }
+/// Where a call of an origin that judges alone goes.
+fn alone(origin: &Origin, from: usize, draw: f64) -> Option<usize> {
     let felt = origin.felt.borrow();
     let bad = |zone: usize| felt[zone][0] > 3.0 && felt[zone][1] / felt[zone][0] > 0.33;
     if !bad(from) || draw < 0.05 {
@@ -148,11 +141,9 @@
         let told: Rc<Tally> = Rc::default();
         let began = clock.now();
         let ends = began + schedule.ends_ms() + 6000.0;
-        let origin = |_| {
+        let origin = |zone: usize| {
             Rc::new(Origin {
-                follower: RefCell::new(Follower::new(ZONES)),
-                tried: RefCell::new(vec![[0.0; 2]; ZONES]),
-                away: RefCell::new([0.0; BANDS]),
+                guide: RefCell::new(Guide::new(zone, ZONES, began)),
                 felt: RefCell::new(vec![[0.0; 2]; ZONES]),
             })
         };
@@ -165,12 +156,7 @@
             let mut chance = Pcg64::seed_from_u64(ground.seed ^ 0x91a);
             while clock.now() < ends && led {
                 for (zone, origin) in origins.iter().enumerate() {
-                    let outside = Outside {
-                        origin: zone,
-                        away: origin.away.replace([0.0; BANDS]).map(|ms| ms / 300.0),
-                        tried: origin.tried.borrow().clone(),
-                    };
-                    origin.tried.borrow_mut().iter_mut().flatten().for_each(|count| *count *= 0.7);
+                    let outside = origin.guide.borrow_mut().outside(clock.now());
                     let near: Vec<usize> = members_of(zone).collect();
                     let member = match chance.random::<f64>() < 0.5 {
                         true => near[chance.random_range(0..near.len())],
@@ -179,10 +165,7 @@
                     let what = Ask::Outside { caller: zone as u64 + 1, outside };
                     let told = ask_zones(asked_at[member], "trial", &what, Duration::from_millis(60)).await;
                     if let Ok(Told::Status(status)) = told {
-                        if status.acts {
-                            let plan = Plan { valid_ms: status.left_ms, ..status.plan };
-                            origin.follower.borrow_mut().take(clock.now(), status.number, plan);
-                        }
+                        origin.guide.borrow_mut().hear(clock.now(), &status);
                     }
                 }
                 Timer::after(Duration::from_millis(150)).await;
@@ -197,7 +180,8 @@
                 let at = clock.now() - began;
                 let gone = away_at(away, at, 0.0);
                 for zone in 0..ZONES {
-                    let follower = origins[zone].follower.borrow();
+                    let guide = origins[zone].guide.borrow();
+                    let follower = guide.follower();
                     let near = follower
                         .plan(clock.now())
                         .map_or(1.0, |plan| plan.part(zone, zone, &[0.6, 0.0, 0.4]));
@@ -213,8 +197,11 @@
                         shift_worst.set(shift_worst.get().max(for_ms));
                     }
                 }
-                let newest =
-                    origins.iter().map(|o| o.follower.borrow().change(clock.now())).max().unwrap_or(0);
+                let newest = origins
+                    .iter()
+                    .map(|o| o.guide.borrow().follower().change(clock.now()))
+                    .max()
+                    .unwrap_or(0);
                 if newest > change && away_at(away, at, 16_000.0).is_empty() && change > 0 {
                     told.changes_in_calm.set(told.changes_in_calm.get() + 1);
                 }
@@ -258,16 +245,16 @@
                     let mut tried = Vec::new();
                     let due = clock.now() + 1400.0;
                     for (turn, draw) in draws.into_iter().enumerate() {
-                        let to = match turn {
-                            0 => choose(&origin, from, clock.now(), rank, draw, led),
+                        let now = clock.now();
+                        let to = match (turn, led) {
+                            (0, true) => {
+                                origin.guide.borrow_mut().first(now, rank, work.work_ms, draw, |_| true)
+                            }
                             // Another member of the zone once, then where else the plan sends some.
-                            1 => tried.last().copied(),
-                            _ if led => origin.follower.borrow().again(clock.now(), from, rank, &tried),
-                            _ => choose(&origin, from, clock.now(), rank, draw, led),
+                            (1, _) => tried.last().copied(),
+                            (_, true) => origin.guide.borrow().again(now, rank, &tried),
+                            (_, false) => alone(&origin, from, draw),
                         };
-                        if to != Some(from) && turn == 0 {
-                            origin.away.borrow_mut()[band(rank)] += work.work_ms;
-                        }
                         let Some(to) = to.filter(|_| clock.now() < due) else { break };
                         if turn == 0 {
                             let near = f64::from(u8::from(to == from));
@@ -289,8 +276,7 @@
                         };
                         let ended = futures_lite::future::or(plain.once(member, &asked), late).await;
                         let well = matches!(ended, Ended::Succeeded(_));
-                        origin.tried.borrow_mut()[to][0] += 1.0;
-                        origin.tried.borrow_mut()[to][1] += f64::from(u8::from(ended != Ended::Failed));
+                        origin.guide.borrow_mut().saw(clock.now(), to, ended != Ended::Failed);
                         let mut felt = origin.felt.borrow_mut();
                         felt[to] = [felt[to][0] * 0.9 + 1.0, felt[to][1] * 0.9 + f64::from(u8::from(!well))];
                         drop(felt);
--- /dev/null
+++ b/crates/plovershelf-zones/src/guide.rs
@@ -0,0 +1,144 @@
+//! A caller's side: where each call goes, what was seen of zones, and what is told to members that it asks for the plan.
+//!
+//! It opens nothing: whoever uses it asks a member ([`crate::asks::Ask::Outside`] with [`Guide::outside`]), hands the answer to
+//! [`Guide::hear`], and asks again after [`ASK_MS`], near members first and any other when these say nothing.
+
+use crate::asks::Status;
+use crate::follow::Follower;
+use crate::plan::{band, Plan, BANDS};
+use crate::seen::Outside;
+
+/// Between two askings, in milliseconds.
+pub const ASK_MS: f64 = 300.0;
+/// What was seen counts for half after so long.
+const HALF_MS: f64 = 1000.0;
+
+#[derive(Clone, Debug)]
+pub struct Guide {
+    from: usize,
+    follower: Follower,
+    tried: Vec<[f64; 2]>,
+    away: [f64; BANDS],
+    /// Since when what went away was counted, and when what was seen last faded.
+    away_since: f64,
+    faded_at: f64,
+}
+
+impl Guide {
+    /// Of a caller in the zone of that place.
+    pub fn new(from: usize, zones: usize, now: f64) -> Self {
+        Guide {
+            from,
+            follower: Follower::new(zones),
+            tried: vec![[0.0; 2]; zones],
+            away: [0.0; BANDS],
+            away_since: now,
+            faded_at: now,
+        }
+    }
+
+    pub fn follower(&self) -> &Follower {
+        &self.follower
+    }
+
+    /// Where a call of a rank goes first, by a draw from 0 to 1: a zone, or nothing where it is not worth sending. `bears` says
+    /// whether its due time bears the way to a zone; `work_ms` is what it asks of a core.
+    pub fn first(
+        &mut self,
+        now: f64,
+        rank: f64,
+        work_ms: f64,
+        draw: f64,
+        bears: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        let to = self.follower.choose(now, self.from, rank, draw, bears);
+        if to != Some(self.from) {
+            self.away[band(rank)] += work_ms.max(0.0);
+        }
+        to
+    }
+
+    /// Where it goes after tries at these zones; nothing where the plan sends nothing of it any further.
+    pub fn again(&self, now: f64, rank: f64, tried: &[usize]) -> Option<usize> {
+        self.follower.again(now, self.from, rank, tried)
+    }
+
+    /// A try came to its end: whether the zone answered at all, be it with a dismissal.
+    pub fn saw(&mut self, now: f64, zone: usize, answered: bool) {
+        self.fade(now);
+        if let Some(tried) = self.tried.get_mut(zone) {
+            *tried = [tried[0] + 1.0, tried[1] + f64::from(u8::from(answered))];
+        }
+    }
+
+    fn fade(&mut self, now: f64) {
+        let part = 0.5f64.powf((now - self.faded_at).max(0.0) / HALF_MS);
+        self.tried.iter_mut().flatten().for_each(|count| *count *= part);
+        self.faded_at = self.faded_at.max(now);
+    }
+
+    /// What is told to the member that is asked next; what went away is counted anew from here.
+    pub fn outside(&mut self, now: f64) -> Outside {
+        self.fade(now);
+        let span = (now - std::mem::replace(&mut self.away_since, now)).max(1.0);
+        let away = std::mem::take(&mut self.away).map(|ms| ms / span);
+        Outside { origin: self.from, away, tried: self.tried.clone() }
+    }
+
+    /// A member's answer. It holds no longer than it does there, so nobody acts by a plan that the member itself has let go.
+    pub fn hear(&mut self, now: f64, status: &Status) -> bool {
+        status.acts
+            && self.follower.take(
+                now,
+                status.number,
+                Plan { valid_ms: status.left_ms, ..status.plan.clone() },
+            )
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::Zone;
+
+    fn status(number: u64, acts: bool, left_ms: f64) -> Status {
+        let mut plan = Plan { change: number, ..Plan::near(2) };
+        (0..BANDS).for_each(|band| plan.shares[band] = vec![0.0, 0.5, 0.5]);
+        let zone = |name: &str| Zone { name: name.into(), region: "r".into() };
+        Status {
+            name: "n1".into(),
+            zone: "a".into(),
+            zones: vec![zone("a"), zone("b")],
+            number,
+            acts,
+            plan,
+            left_ms,
+            leader: None,
+            forecast: None,
+            history: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn a_caller_goes_by_what_it_heard_and_tells_what_it_saw() {
+        let mut guide = Guide::new(0, 2, 0.0);
+        assert_eq!(guide.first(0.0, 0.9, 20.0, 0.7, |_| true), Some(0));
+        assert!(!guide.hear(0.0, &status(3, false, 0.0)), "a member that acts by none tells of none");
+        assert!(guide.hear(0.0, &status(3, true, 800.0)));
+        assert_eq!(guide.first(100.0, 0.9, 20.0, 0.2, |_| true), Some(1));
+        assert_eq!(guide.first(100.0, 0.1, 10.0, 0.7, |_| true), None, "cut at its origin");
+        assert_eq!(guide.again(100.0, 0.9, &[1]), None);
+        (0..4).for_each(|n| guide.saw(100.0, 1, n > 0));
+        let told = guide.outside(200.0);
+        assert_eq!((told.origin, told.away), (0, [10.0 / 200.0, 0.0, 20.0 / 200.0]));
+        assert!(
+            (told.tried[1][0] - 4.0 * 0.5f64.powf(0.1)).abs() < 1e-9 && told.tried[1][1] < told.tried[1][0]
+        );
+        // What went away was told; what was seen fades.
+        let later = guide.outside(1200.0);
+        assert_eq!(later.away, [0.0; BANDS]);
+        assert!(later.tried[1][0] < 0.6 * told.tried[1][0]);
+        // The member's plan had 800 ms left, so has this one.
+        assert_eq!(guide.first(801.0, 0.9, 1.0, 0.2, |_| true), Some(0));
+    }
+}
--- a/crates/plovershelf-zones/src/lib.rs
+++ b/crates/plovershelf-zones/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod broken;
 pub mod flow;
 pub mod follow;
+pub mod guide;
 pub mod plan;
 pub mod planner;
 pub mod seen;
