--- a/crates/plovershelf-zones/src/seen.rs
+++ b/crates/plovershelf-zones/src/seen.rs
@@ -186,6 +186,11 @@
         sums
     }
 
+    fn fresh_outside(&self, now: f64) -> Vec<&Outside> {
+        let fresh = self.outside.values().filter(|(_, at)| now - at <= self.terms.silent_ms);
+        fresh.map(|(outside, _)| outside).collect()
+    }
+
     /// Of one origin's tries at a zone the share that was answered, where there were enough to tell. No caller counts for many.
     fn answered(&self, fresh: &[&Outside], from: usize, zone: usize) -> Option<f64> {
         let tried = fresh.iter().filter(|o| o.origin == from).filter_map(|outside| outside.tried.get(zone));
@@ -198,12 +203,7 @@
 
     /// Ways between zones that callers find cut, while the zone at the end answers others.
     pub fn cut_ways(&self, now: f64) -> Vec<(usize, usize)> {
-        let fresh: Vec<&Outside> = self
-            .outside
-            .values()
-            .filter(|(_, at)| now - at <= self.terms.silent_ms)
-            .map(|(o, _)| o)
-            .collect();
+        let fresh = self.fresh_outside(now);
         let pairs = (0..self.zones).flat_map(|from| (0..self.zones).map(move |to| (from, to)));
         let cut = |(from, to): &(usize, usize)| {
             let others = (0..self.zones).filter(|other| other != from);
@@ -215,12 +215,7 @@
 
     /// What callers see: a zone whose members say they are well and whom callers don't reach carries what callers get from it.
     fn heed_outside(&self, now: f64, sums: &mut [Sum]) {
-        let fresh: Vec<&Outside> = self
-            .outside
-            .values()
-            .filter(|(_, at)| now - at <= self.terms.silent_ms)
-            .map(|(o, _)| o)
-            .collect();
+        let fresh = self.fresh_outside(now);
         // By the middle of the origins that try it: one whose own way is bad says nothing of the zone.
         let answered = |zone: usize| {
             let of: Vec<f64> = (0..self.zones).filter_map(|from| self.answered(&fresh, from, zone)).collect();
