--- a/crates/plovershelf-server/tests/group.rs
+++ b/crates/plovershelf-server/tests/group.rs
@@ -68,14 +68,9 @@
     let began = Instant::now();
     let rig = fleet.rig.as_ref().expect("a group");
     loop {
-        // The stand-ins need this thread, so others do the asking.
         let addresses: Vec<SocketAddr> = members.iter().map(|m| rig.members[*m].address).collect();
-        let (told, asked) = async_channel::bounded(1);
-        std::thread::spawn(move || {
-            let all: Option<Vec<Status>> = addresses.into_iter().map(status).collect();
-            let _ = told.send_blocking(all);
-        });
-        if let Ok(Some(all)) = asked.recv().await {
+        let asked = off_thread(move || addresses.into_iter().map(status).collect::<Option<Vec<Status>>>());
+        if let Some(all) = asked.await {
             if holds(&all) {
                 return all;
             }
@@ -139,11 +134,7 @@
         let at = fleet.rig.as_ref().expect("a group").members[2].address;
         let recover = move |lost: &[&str]| {
             let lost = lost.iter().map(|name| name.to_string()).collect();
-            async move {
-                let (told, asked) = async_channel::bounded(1);
-                std::thread::spawn(move || told.send_blocking(ask(at, Question::Recover { lost })));
-                asked.recv().await.ok().flatten()
-            }
+            off_thread(move || ask(at, Question::Recover { lost }))
         };
         let early = recover(&["n1"]).await;
         assert!(matches!(early, Some(Answer::Refused(why)) if why.contains("can decide by themselves")));
@@ -166,6 +157,19 @@
     async_io::block_on(executor.run(run));
 }
 
+/// One ticket's try.
+fn ticketed(body: &[u8]) -> Asked<'_> {
+    Asked {
+        offering: "marked",
+        tenant: "acme",
+        rank: 0.5,
+        ticket: Some("00000000000000a1"),
+        rerunnable: false,
+        body,
+        within: Duration::from_secs(20),
+    }
+}
+
 /// A repeat that reaches another backend gets the result, also when the one that ran it is lost with its disk.
 #[test]
 fn a_ticket_runs_once_at_whichever_backend_its_tries_arrive() {
@@ -182,15 +186,7 @@
         let caller = Plain::new(&executor, &addresses, 1);
         let work = Work { number: 1, work_ms: 5.0, calls: 0, effect: Effect::Ticketed };
         let body = work.body();
-        let asked = Asked {
-            offering: "marked",
-            tenant: "acme",
-            rank: 0.5,
-            ticket: Some("00000000000000a1"),
-            rerunnable: false,
-            body: &body,
-            within: Duration::from_secs(20),
-        };
+        let asked = ticketed(&body);
         let well = Ended::Succeeded(work.result());
         assert_eq!(caller.once(addresses[0], &asked).await, well);
         assert_eq!(caller.once(addresses[1], &asked).await, well);
@@ -222,15 +218,7 @@
         let addresses = fleet.addresses();
         let work = Work { number: 1, work_ms: 5.0, calls: 0, effect: Effect::Ticketed };
         let body = work.body();
-        let asked = Asked {
-            offering: "marked",
-            tenant: "acme",
-            rank: 0.5,
-            ticket: Some("00000000000000a1"),
-            rerunnable: false,
-            body: &body,
-            within: Duration::from_secs(20),
-        };
+        let asked = ticketed(&body);
         let well = Ended::Succeeded(work.result());
         let caller = Plain::new(&executor, &addresses, 1);
         assert_eq!(caller.once(addresses[0], &asked).await, well);
