Backends start where a deployment has no shared dependency and no address of one

Ruled out: names, tenants, limits (the same file with below = shared starts). Lines at fault: Peers::read asked for all three addresses whatever the settings tell. Now the address is asked for only where the settings tell of a shared dependency; a call that is asked for all the same is handed back as never run. Tests: launch::tests, a process test; both fail without the change.

--- a/crates/plovershelf-facts/src/lib.rs
+++ b/crates/plovershelf-facts/src/lib.rs
@@ -44,6 +44,11 @@
     list(value, key).iter().map(|row| row["name"].as_str().unwrap_or("").to_string()).collect()
 }
 
+/// Whether settings tell of a dependency that all backends share.
+pub fn shares_a_dependency(settings: &Value) -> bool {
+    settings["family_info"]["below"].as_str() == Some("shared")
+}
+
 pub fn read(text: &str, seed: u64) -> Result<Start, String> {
     read_value(&serde_json::from_str(text).map_err(|e| format!("settings don't parse: {e}"))?, seed)
 }
@@ -91,7 +96,7 @@
         memory_kb,
         run_factor: number(own, "run_factor", 1.0),
         entry_kb: number(own, "entry_kb", 0.0),
-        call_share: (own["below"].as_str() == Some("shared")).then(|| number(own, "dep_share", 1.0)),
+        call_share: shares_a_dependency(top).then(|| number(own, "dep_share", 1.0)),
         call_linger_ms: number(own, "linger_ms", 0.0),
         halting: match own["halt"].as_str() {
             Some("abort") => Halting::Abort,
--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -32,7 +32,8 @@
 pub struct Peers {
     pub agent: Rc<Cell<SocketAddr>>,
     pub roster: Rc<Cell<SocketAddr>>,
-    pub ledger: Rc<Cell<SocketAddr>>,
+    /// There is none where the settings tell of no dependency that backends share.
+    pub ledger: Rc<Cell<Option<SocketAddr>>>,
 }
 
 /// What can't change in a running program.
@@ -91,7 +92,12 @@
 
     fn read(top: &Value) -> Result<Self, String> {
         let at = |key| Ok::<_, String>(Rc::new(Cell::new(address(top, key)?)));
-        Ok(Peers { agent: at("agent")?, roster: at("registry")?, ledger: at("records")? })
+        let shared = plovershelf_facts::shares_a_dependency(&top["settings"]);
+        let ledger = match top["records"] {
+            Value::Null if !shared => None,
+            _ => Some(address(top, "records")?),
+        };
+        Ok(Peers { agent: at("agent")?, roster: at("registry")?, ledger: Rc::new(Cell::new(ledger)) })
     }
 
     /// Takes the addresses of a document that replaced `before`, all of them or none. What else has changed
@@ -132,18 +138,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_new_document_moves_all_three_peers_or_none() {
-        let document = |agent: &str, port: u16| serde_json::json!({"agent": agent, "records": format!("127.0.0.1:{port}"), "registry": "127.0.0.1:3"});
-        let before = document("127.0.0.1:1", 2);
-        let peers = Peers::read(&before).expect("three addresses");
-        assert!(peers.move_to(&before, &document("nowhere", 9)).is_err());
-        assert_eq!((peers.agent.get().port(), peers.ledger.get().port()), (1, 2));
-        peers.move_to(&before, &document("127.0.0.1:7", 8)).expect("three addresses");
-        let ports = [&peers.agent, &peers.ledger, &peers.roster].map(|at| at.get().port());
-        assert_eq!(ports, [7, 8, 3]);
-    }
-}
+mod tests;
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -85,7 +85,7 @@
 
 pub async fn keep_calls(
     executor: &LocalExecutor<'static>,
-    address: Rc<Cell<SocketAddr>>,
+    address: Rc<Cell<Option<SocketAddr>>>,
     orders: Receiver<Order>,
     inbox: Sender<Event>,
     limits: Rc<Limits>,
@@ -93,8 +93,15 @@
     let mut lines: Vec<Line> = Vec::new();
     let pace = Rc::new(Pace { mean_ms: Cell::new(limits.pace_first_ms), limits: limits.clone() });
     while let Ok(order) = orders.recv().await {
+        let Some(to) = address.get() else {
+            // There is nowhere to place a call.
+            if let Order::Call { id, number, .. } = order {
+                let over = CallOver::without(number, CallEnd::ProvenNotRun);
+                let _ = inbox.send(Event::CallOver { id, over }).await;
+            }
+            continue;
+        };
         // One that takes no more calls ends with the last it has out.
-        let to = address.get();
         lines.retain(|line| !(line.over(to, &limits) && line.carried.borrow().out.is_empty()));
         match order {
             Order::Call { id, number, within_ms, body } => {
@@ -271,7 +278,7 @@
         let (calls, orders) = async_channel::bounded(64);
         let limits = Rc::new(Limits { ledger_idle_ms: 50, ..Limits::of(64.0, 512) });
         let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
-        let keep = keep_calls(executor, Rc::new(Cell::new(address)), orders, events, limits);
+        let keep = keep_calls(executor, Rc::new(Cell::new(Some(address))), orders, events, limits);
         let talk = async {
             for id in ids {
                 let order = Order::Call { id: *id, number: 1, within_ms: 1000.0, body: b"ask".to_vec() };
--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -36,6 +36,11 @@
 
 impl Backend {
     fn start(limits: &str) -> Self {
+        Self::start_as(limits, |text| text)
+    }
+
+    /// The same with another configuration, made from the usual one.
+    fn start_as(limits: &str, change: impl FnOnce(String) -> String) -> Self {
         let (agent, ledger) = (local(), local());
         let roster = UdpSocket::bind("127.0.0.1:0").expect("a free port");
         roster.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
@@ -47,6 +52,7 @@
             ledger.local_addr().expect("an address"),
             roster.local_addr().expect("an address"),
         );
+        let text = change(text);
         let (child, configuration) = started_with(&text);
         Backend { child: Some(child), configuration, text, address, agent, ledger, roster }
     }
@@ -54,10 +60,15 @@
     /// A backend whose agent is up, and the agent's side of the link.
     fn up(limits: &str) -> (Self, Lines) {
         let backend = Self::start(limits);
-        let mut agent = backend.link("subscribe 0", |_| ());
+        let agent = backend.agent_up();
+        (backend, agent)
+    }
+
+    fn agent_up(&self) -> Lines {
+        let mut agent = self.link("subscribe 0", |_| ());
         // The first sample after that of the link itself comes from a backend that has started.
         agent.sampled();
-        (backend, agent)
+        agent
     }
 
     fn usual() -> (Self, Lines) {
@@ -423,3 +434,27 @@
     }
     [file, own].into_iter().for_each(|file| std::fs::remove_file(file).expect("it is there"));
 }
+
+/// Another customer's deployment: no dependency that backends share, so no address of one.
+#[test]
+fn a_backend_with_nothing_below_starts_without_its_address_and_serves() {
+    let without = |text: String| {
+        let from = text.find("\"records\"").expect("the key");
+        let to = text.find("\"registry\"").expect("the next key");
+        [&text[..from], &text[to..]].concat().replace("\"below\": \"shared\"", "\"below\": \"silent\"")
+    };
+    let backend = Backend::start_as(r#"{"cores": 1.0, "memory_mb": 64, "sockets": 64}"#, without);
+    let mut agent = backend.agent_up();
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(2, 2, "plain", &[], b""));
+    agent.expect("launch");
+    agent.say("outcome 2 0000000000000002 success 1", Some(b"x"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(2, b"x".to_vec())));
+    // The same file read again changes nothing, and a call that no page allows never runs.
+    backend.signal("HUP");
+    sidecar.send(&dispatch(3, 3, "single", &[], b""));
+    agent.expect("launch");
+    agent.say("request 3 0000000000000003", Some(b"ask"));
+    agent.say("outcome 4 0000000000000003 success 1", Some(b"y"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(3, b"y".to_vec())));
+}
