A key with another body shares no result, and what waits hears of its run's end

The client had copied the key of an open request of another body under an id that the agent does not know, so it joined that run and got its result. Ruled out: shared reads (the same with fresh_ms = 0), ids in use, doubled sequence numbers. Lines at fault: Remembered::original looked at the key alone. Real repeats all had the body of their first try (over 20 keys). Now what a body says is kept with the mark: another body under a key that ran is an error of that request alone, under one that has not run it is turned away unrun, and a read runs by itself. Marks are bounded (memory / 10 / 512). A run that outlasts its key's window no longer loses those that wait for it when the key begins anew. Tests: five in owner/tests.rs, each fails without its part.

--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -6,6 +6,9 @@
 /// Memory that one connection may come to hold, for the number of connections that memory allows.
 const CONNECTION_BYTES: usize = 64 << 10;
 
+/// What one mark of a repeat may come to hold beside a result.
+const MARK_BYTES: usize = 512;
+
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Connections of sidecars at once.
@@ -27,6 +30,8 @@
     pub unwritten_each: usize,
     /// Results that are remembered for repeats.
     pub remembered_bytes: usize,
+    /// Marks by which repeats are known.
+    pub remembered: usize,
     /// Places in the queue to the owner, and in the ones from it.
     pub events: usize,
     pub orders: usize,
@@ -111,6 +116,7 @@
             unwritten_bytes: memory / 5,
             unwritten_each: 256 << 10,
             remembered_bytes: memory / 10,
+            remembered: memory / 10 / MARK_BYTES,
             events: 256,
             orders: 4096,
             whole_ms: 2200,
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -81,6 +81,8 @@
     proving: Option<(u64, Vec<u8>)>,
     result: Vec<u8>,
     mark: Option<Mark>,
+    /// What its body says, where it has a mark.
+    content: u64,
     /// Where tickets have copies: how far its claim is.
     copied: copied::Stage,
     /// Its ending stands on enough copies to be told if the due time comes before the rest; or its caller was told that it
@@ -181,7 +183,7 @@
             open_bytes: 0,
             by_try: BTreeMap::new(),
             last_id: 0,
-            remembered: Remembered::new(limits.remembered_bytes, limits.read_late_ms),
+            remembered: Remembered::new(limits.remembered, limits.remembered_bytes, limits.read_late_ms),
             ended: VecDeque::new(),
             agent: None,
             commands: 0,
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -8,10 +8,35 @@
 
 use super::{Connection, Open, Owner, NEVER};
 use crate::messages::Unwritten;
-use crate::repeats::Mark;
+use crate::repeats::{content, Known, Mark};
 
 const ID_IN_USE: &str = "the id is in use";
 const NOT_STARTED: &str = "not started yet";
+const MARK_IN_USE: &str = "the key is another request's";
+
+/// What is read of an invocation for the module, and for its repeats.
+pub(super) struct Read {
+    arrival: Arrival,
+    mark: Option<Mark>,
+    content: u64,
+}
+
+/// Why an invocation is not taken.
+#[derive(Debug)]
+pub(super) enum Unfit {
+    /// No sidecar sends such, or what it says may be another's fault.
+    Wrong(String),
+    /// Its key belongs to another, nothing of which has run: which of the two is wrong is not known yet.
+    KeyHeld,
+    /// No more keys can be remembered, and without that nothing of it may run.
+    NoRoom,
+}
+
+impl<T: Into<String>> From<T> for Unfit {
+    fn from(what: T) -> Self {
+        Unfit::Wrong(what.into())
+    }
+}
 
 impl Owner {
     pub(super) fn read(&mut self, connection: u64, frame: Vec<u8>) {
@@ -34,10 +59,19 @@
                 let body = from..from + body.len();
                 match self.arrival(connection, &invocation) {
                     Ok(read) => self.take_in(connection, seqid, id, frame, body, read),
-                    Err(what) => {
+                    Err(Unfit::Wrong(what)) => {
                         self.refuse(connection, seqid, "dispatch", Complaint::Internal, &what);
                         self.at_fault(connection, &what);
                     }
+                    Err(Unfit::NoRoom) => {
+                        self.complain("more keys are to be remembered than memory allows");
+                        self.send(connection, front::dismissed(seqid, &Words::default()));
+                    }
+                    Err(Unfit::KeyHeld) => {
+                        self.complain(&format!("connection {connection}: {MARK_IN_USE}"));
+                        self.send(connection, front::dismissed(seqid, &Words::default()));
+                        self.at_fault(connection, MARK_IN_USE);
+                    }
                 }
             }
             Ok(Message::Cancel { seqid }) => {
@@ -59,11 +93,7 @@
     }
 
     /// An invocation as the module needs it, with the mark by which repeats of it are known.
-    pub(super) fn arrival(
-        &self,
-        connection: u64,
-        read: &front::Invocation<'_>,
-    ) -> Result<(Arrival, Option<Mark>), String> {
+    pub(super) fn arrival(&self, connection: u64, read: &front::Invocation<'_>) -> Result<Read, Unfit> {
         let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let offering = place(&self.start.offerings, read.offering).ok_or("no such class")?;
         let tenant = match place(&self.start.tenants, read.tenant) {
@@ -90,10 +120,28 @@
         }
         let came = read.came_ms.min(self.now);
         let terms = &self.start.facts.offerings[offering];
-        let mark = Mark::of(offering, terms.repeats, read.ticket, read.subject);
+        let mut mark = Mark::of(offering, terms.repeats, read.ticket, read.subject);
         let share_ms = self.start.facts.share_answers_ms;
         let ran_counts = terms.repeats == Repeats::Ticketed;
-        let original = mark.as_ref().and_then(|m| self.remembered.original(m, came, ran_counts, share_ms));
+        let content = mark.as_ref().map_or(0, |_| content(read.body));
+        let known = mark.as_ref().map(|m| self.remembered.known(m, content, came, ran_counts, share_ms));
+        let original = match known {
+            Some(Known::Nothing) if self.remembered.full() && ran_counts => return Err(Unfit::NoRoom),
+            Some(Known::Nothing) if self.remembered.full() => {
+                mark = None;
+                None
+            }
+            None | Some(Known::Nothing) => None,
+            Some(Known::Original(holder)) => Some(holder),
+            // A read of something else shares nothing and runs by itself.
+            Some(Known::Another { .. }) if !ran_counts => {
+                mark = None;
+                None
+            }
+            // Guards against an answer that no run made for this one: its body differs from the one that ran.
+            Some(Known::Another { ran: true }) => return Err(MARK_IN_USE.into()),
+            Some(Known::Another { ran: false }) => return Err(Unfit::KeyHeld),
+        };
         let arrival = Arrival {
             id: 0,
             offering,
@@ -107,7 +155,7 @@
             unread_ms: self.now - came,
             original,
         };
-        Ok((arrival, mark))
+        Ok(Read { arrival, mark, content })
     }
 
     pub(super) fn take_in(
@@ -117,7 +165,7 @@
         id: TryId,
         frame: Vec<u8>,
         body: Range<usize>,
-        (mut arrival, mark): (Arrival, Option<Mark>),
+        Read { mut arrival, mark, content }: Read,
     ) {
         let bytes = frame.len() + self.limits.open_overhead;
         if self.open_bytes + bytes > self.limits.open_bytes {
@@ -154,6 +202,7 @@
             proving: None,
             result: Vec::new(),
             mark,
+            content,
             copied: Default::default(),
             enough: None,
             told_failed: false,
@@ -191,7 +240,8 @@
     /// One that sends what no sidecar would is read no more; what may be another's fault has to come often.
     fn at_fault(&mut self, connection: u64, what: &str) {
         let Some(peer) = self.connections.get_mut(&connection) else { return };
-        peer.faults += if matches!(what, ID_IN_USE | NOT_STARTED) { 1 } else { self.limits.faults };
+        peer.faults +=
+            if matches!(what, ID_IN_USE | NOT_STARTED | MARK_IN_USE) { 1 } else { self.limits.faults };
         if peer.faults >= self.limits.faults {
             self.deafen(connection, "it is not a sidecar's");
         }
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::messages::{CallOver, Said};
+use crate::repeats::Known;
 use plovershelf::interface::CallEnd;
 use plovershelf_codec::agent::RunOver;
 use plovershelf_standins::scripted::{alive, cancel, dispatch, heard, Heard, SETTINGS};
@@ -544,29 +545,92 @@
     let mut stage = Stage::new();
     stage.owner.start.facts.share_answers_ms = 1000.0;
     let mark = Mark::Read(0, 9);
-    stage.owner.remembered.keep(mark.clone(), 1, 10_000.0);
-    let original = |stage: &Stage, came| stage.owner.remembered.original(&mark, came, false, 1000.0);
-    assert_eq!(original(&stage, 0.0), Some(1));
+    stage.owner.remembered.keep(mark.clone(), 1, 0, 10_000.0);
+    let known = |stage: &Stage, came| stage.owner.remembered.known(&mark, 0, came, false, 1000.0);
+    assert_eq!(known(&stage, 0.0), Known::Original(1));
     stage.owner.remembered.ran(&mark, 1);
     stage.owner.remembered.ended(&mark, 1, Some(b"x"), 100.0);
-    assert_eq!((original(&stage, 1100.0), original(&stage, 1101.0)), (Some(1), None));
+    assert_eq!((known(&stage, 1100.0), known(&stage, 1101.0)), (Known::Original(1), Known::Nothing));
 }
 
 #[test]
 fn remembered_results_stay_inside_their_bytes_and_their_span() {
-    let mut remembered = Remembered::new(10, 1000.0);
+    let mut remembered = Remembered::new(9, 10, 1000.0);
     let mark = |n: u32| Mark::Ticket(0, n.to_string().into());
     for n in 1..=3 {
-        remembered.keep(mark(n), n, 500.0);
+        remembered.keep(mark(n), n, 0, 500.0);
         remembered.ran(&mark(n), n);
         remembered.ended(&mark(n), n, Some(b"12345"), 0.0);
     }
     assert_eq!(remembered.join(&mark(2), 9), crate::repeats::Repeated::Has(b"12345"));
     assert_eq!(remembered.join(&mark(3), 9), crate::repeats::Repeated::HasNone);
-    assert_eq!(remembered.original(&mark(3), 499.0, true, 0.0), Some(3));
-    assert_eq!(remembered.original(&mark(3), 500.0, true, 0.0), None);
+    assert_eq!(remembered.known(&mark(3), 0, 499.0, true, 0.0), Known::Original(3));
+    assert_eq!(remembered.known(&mark(3), 0, 500.0, true, 0.0), Known::Nothing);
     remembered.sweep(1600.0);
-    remembered.keep(mark(4), 4, 5000.0);
+    remembered.keep(mark(4), 4, 0, 5000.0);
     remembered.ended(&mark(4), 4, Some(b"1234567890"), 2000.0);
     assert_eq!(remembered.join(&mark(4), 9), crate::repeats::Repeated::Has(b"1234567890"));
 }
+
+/// Seen on another customer's deployment: a client that knows a key in use sends it with a body of its own, under an id
+/// that the agent does not know, and was given the result of the run that it had no part in.
+#[test]
+fn a_key_with_another_body_shares_no_result_before_the_run_in_it_or_after() {
+    let mut stage = Stage::new();
+    let (peer, other) = (stage.connect(), stage.connect());
+    let key = [("k", "t")];
+    stage.send(peer, dispatch(1, 1, "marked", &key, b"pay 5"));
+    stage.send(other, dispatch(1, 2, "marked", &key, b"pay 500"));
+    assert_eq!(stage.heard(other), [Heard::Complaint(1)]);
+    stage.run_over(1, RunOver::Success, b"paid 5");
+    stage.send(other, dispatch(2, 3, "marked", &key, b"pay 500"));
+    stage.send(other, dispatch(3, 4, "marked", &key, b"pay 5"));
+    assert_eq!(stage.heard(other), [Heard::Complaint(2), Heard::Succeeded(3, b"paid 5".to_vec())]);
+    assert_eq!(stage.heard(peer), [Heard::Succeeded(1, b"paid 5".to_vec())]);
+    assert_eq!(stage.commands().len(), 1);
+}
+
+/// Which of the two is wrong is not known while neither has run, so the one that came later may go elsewhere.
+#[test]
+fn a_key_with_another_body_whose_holder_has_not_run_is_turned_away_unrun() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    let mark = Mark::Ticket(2, "t".into());
+    stage.owner.remembered.keep(mark, 77, crate::repeats::content(b"one"), f64::MAX);
+    stage.send(peer, dispatch(1, 1, "marked", &[("k", "t")], b"two"));
+    assert_eq!((stage.heard(peer), stage.commands().len()), (vec![Heard::Dismissed(1)], 0));
+}
+
+#[test]
+fn a_read_under_another_s_key_runs_by_itself() {
+    let mut stage = Stage::new();
+    stage.owner.start.facts.share_answers_ms = 1000.0;
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[("o", "9")], b"one"));
+    stage.send(peer, dispatch(2, 2, "plain", &[("o", "9")], b"two"));
+    assert_eq!(stage.commands().len(), 2);
+}
+
+/// A run may outlast the window of its key; the next of that key begins anew and takes the mark.
+#[test]
+fn what_waits_for_a_run_hears_of_its_end_though_its_key_was_taken_over() {
+    let mut remembered = Remembered::new(9, 10, 1000.0);
+    let mark = Mark::Ticket(0, "t".into());
+    remembered.keep(mark.clone(), 1, 0, 500.0);
+    remembered.ran(&mark, 1);
+    assert_eq!(remembered.join(&mark, 2), crate::repeats::Repeated::Waits);
+    assert_eq!(remembered.known(&mark, 0, 500.0, true, 0.0), Known::Nothing);
+    remembered.keep(mark.clone(), 3, 0, 1000.0);
+    assert_eq!(remembered.ended(&mark, 1, Some(b"x"), 600.0), [2]);
+    assert_eq!(remembered.known(&mark, 0, 700.0, true, 0.0), Known::Original(3));
+}
+
+#[test]
+fn a_keyed_one_is_turned_away_unrun_where_no_more_keys_can_be_remembered() {
+    let mut stage = Stage::with(Limits { remembered: 1, ..Limits::of(64.0, 256) });
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "marked", &[("k", "a")], b""));
+    stage.send(peer, dispatch(2, 2, "marked", &[("k", "b")], b""));
+    stage.send(peer, dispatch(3, 3, "plain", &[], b""));
+    assert_eq!((stage.heard(peer), stage.commands().len()), (vec![Heard::Dismissed(2)], 2));
+}
--- a/crates/plovershelf-server/src/owner/work.rs
+++ b/crates/plovershelf-server/src/owner/work.rs
@@ -32,7 +32,7 @@
         let id = change.id;
         if let (Some(span), Some(open)) = (change.remember_ms, self.open.get(&id)) {
             if let Some(mark) = &open.mark {
-                self.remembered.keep(mark.clone(), id, self.now + span);
+                self.remembered.keep(mark.clone(), id, open.content, self.now + span);
             }
         }
         match (change.from, change.to) {
--- a/crates/plovershelf-server/src/repeats.rs
+++ b/crates/plovershelf-server/src/repeats.rs
@@ -1,6 +1,7 @@
 //! What is remembered of invocations so that repeats of them are known: who holds the mark, and its result.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use plovershelf::interface::Repeats;
 
@@ -21,6 +22,25 @@
     }
 }
 
+/// What a body says, to tell a repeat from another invocation under the same mark.
+pub fn content(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What is known under the mark of one that came.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Known {
+    Nothing,
+    /// It repeats this one.
+    Original(u32),
+    /// Something else was asked for under this mark, and has run or may have, or not yet.
+    Another {
+        ran: bool,
+    },
+}
+
 /// What a repeat finds of the invocation that it repeats.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Repeated<'a> {
@@ -39,6 +59,7 @@
 
 struct Entry {
     holder: u32,
+    content: u64,
     until: f64,
     standing: Standing,
     waiting: Vec<u32>,
@@ -46,32 +67,54 @@
 
 pub struct Remembered {
     entries: BTreeMap<Mark, Entry>,
+    /// What waits for holders whose mark another has taken over after their window.
+    elsewhere: BTreeMap<u32, Vec<u32>>,
     bytes: usize,
+    most: usize,
     most_bytes: usize,
     read_late_ms: f64,
 }
 
 impl Remembered {
-    pub fn new(most_bytes: usize, read_late_ms: f64) -> Self {
-        Remembered { entries: BTreeMap::new(), bytes: 0, most_bytes, read_late_ms }
+    /// At most so many marks and so many bytes of results.
+    pub fn new(most: usize, most_bytes: usize, read_late_ms: f64) -> Self {
+        let (entries, elsewhere) = (BTreeMap::new(), BTreeMap::new());
+        Remembered { entries, elsewhere, bytes: 0, most, most_bytes, read_late_ms }
     }
 
-    pub fn keep(&mut self, mark: Mark, holder: u32, until: f64) {
+    /// No further mark can be kept.
+    pub fn full(&self) -> bool {
+        self.entries.len() >= self.most
+    }
+
+    pub fn keep(&mut self, mark: Mark, holder: u32, content: u64, until: f64) {
         let standing = Standing::Open { ran: false };
-        let entry = Entry { holder, until, standing, waiting: Vec::new() };
+        let entry = Entry { holder, content, until, standing, waiting: Vec::new() };
         if let Some(old) = self.entries.insert(mark, entry) {
             self.bytes -= size(&old.standing);
+            // The window is over while the run is not: what waits for it is still told of its end.
+            if !old.waiting.is_empty() {
+                self.elsewhere.insert(old.holder, old.waiting);
+            }
         }
     }
 
-    /// The invocation that one which came at `came` repeats.
-    pub fn original(&self, mark: &Mark, came: f64, ran_counts: bool, share_ms: f64) -> Option<u32> {
-        let entry = self.entries.get(mark).filter(|entry| entry.until > came)?;
-        let repeats = match &entry.standing {
-            Standing::Open { .. } => true,
-            Standing::Over { result, at } => ran_counts || (result.is_some() && came - at <= share_ms),
+    /// What one that came at `came` with this content finds under its mark.
+    pub fn known(&self, mark: &Mark, content: u64, came: f64, ran_counts: bool, share_ms: f64) -> Known {
+        let Some(entry) = self.entries.get(mark).filter(|entry| entry.until > came) else {
+            return Known::Nothing;
+        };
+        let (counts, ran) = match &entry.standing {
+            Standing::Open { ran } => (true, *ran),
+            Standing::Over { result, at } => {
+                (ran_counts || (result.is_some() && came - at <= share_ms), true)
+            }
         };
-        repeats.then_some(entry.holder)
+        match (counts, entry.content == content) {
+            (false, _) => Known::Nothing,
+            (true, true) => Known::Original(entry.holder),
+            (true, false) => Known::Another { ran },
+        }
     }
 
     pub fn join(&mut self, mark: &Mark, repeat: u32) -> Repeated<'_> {
@@ -98,7 +141,9 @@
     /// not remembered any longer.
     pub fn ended(&mut self, mark: &Mark, holder: u32, result: Option<&[u8]>, at: f64) -> Vec<u32> {
         let room = self.bytes + result.map_or(0, <[u8]>::len) <= self.most_bytes;
-        let Some(entry) = self.held(mark, holder) else { return Vec::new() };
+        let Some(entry) = self.entries.get_mut(mark).filter(|entry| entry.holder == holder) else {
+            return self.elsewhere.remove(&holder).unwrap_or_default();
+        };
         let Standing::Open { ran } = entry.standing else { return Vec::new() };
         let waiting = std::mem::take(&mut entry.waiting);
         if ran || result.is_some() {
