--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -143,6 +143,7 @@
     let read = async {
         let mut inflow = Inflow::new(limits.line_bytes, limits.read_bytes);
         let mut greeting = None;
+        let newest = Cell::new(0);
         let mut sender = Some(sender);
         loop {
             let took = agent::take(inflow.bytes(), limits.body_bytes).map_err(|bad| broken(bad.0))?;
@@ -152,17 +153,24 @@
                 }
                 continue;
             };
+            let before = *last_read;
+            let numbered = |number| {
+                newest.set(number);
+                fresh_notice(number, before)
+            };
             let said = match notice {
+                Notice::Greeting { .. } if greeting.is_some() => return Err(broken("it greeted twice")),
                 Notice::Greeting { fresh, up_for_ms } => {
                     *greeted = true;
                     greeting = Some((fresh, up_for_ms));
                     write_all(stream, &agent::sample(FENCE), limits.stall_ms).await?;
                     None
                 }
-                Notice::Outcome { number, id, over, result } => fresh_notice(number, last_read)
-                    .then(|| Said::RunOver { id, over, result: result.to_vec() }),
+                Notice::Outcome { number, id, over, result } => {
+                    numbered(number).then(|| Said::RunOver { id, over, result: result.to_vec() })
+                }
                 Notice::Request { number, id, call } => {
-                    fresh_notice(number, last_read).then(|| Said::WantsCall { id, call: call.to_vec() })
+                    numbered(number).then(|| Said::WantsCall { id, call: call.to_vec() })
                 }
                 Notice::Sampled { tag, gauges } => {
                     let tag = std::str::from_utf8(tag).ok().and_then(|tag| tag.parse().ok());
@@ -184,7 +192,7 @@
                     about: about.to_vec(),
                 }),
                 Notice::Aside { number } => {
-                    fresh_notice(number, last_read);
+                    numbered(number);
                     None
                 }
             };
@@ -192,6 +200,8 @@
             if let Some(said) = said {
                 inbox.send(Event::Agent(said)).await.map_err(|_| broken("the program ends"))?;
             }
+            // Only now: what waits for the queue when the link ends is asked for again on the next.
+            *last_read = (*last_read).max(newest.get());
         }
     };
     future::or(read, future::or(write, follow)).await?;
@@ -200,23 +210,12 @@
 }
 
 /// Each notice counts once, however often it is told.
-fn fresh_notice(number: u64, last_read: &mut u64) -> bool {
-    if number <= *last_read {
-        return false;
-    }
-    if number > *last_read + 1 {
+fn fresh_notice(number: u64, last_read: u64) -> bool {
+    if number > last_read.saturating_add(1) {
         tracing::warn!("notices between {last_read} and {number} were never told");
     }
-    *last_read = number;
-    true
+    number > last_read
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn a_notice_that_is_told_again_counts_once() {
-        let mut last_read = 4;
-        let counts = [5, 4, 5, 7].map(|number| super::fresh_notice(number, &mut last_read));
-        assert_eq!((counts, last_read), ([true, false, false, true], 7));
-    }
-}
+mod tests;
--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -39,8 +39,15 @@
 /// What can't change in a running program.
 const FIXED: [&str; 6] = ["name", "listen", "seed", "stop_ms", "limits", "settings"];
 
+/// What is wrong with the document, with the file that it stands in.
+pub fn named(wrong: String) -> String {
+    let path = std::env::var_os("RELAY_CONFIG").unwrap_or_default();
+    format!("RELAY_CONFIG {}: {wrong}", path.to_string_lossy())
+}
+
 pub fn from_environment() -> Result<Launch, String> {
-    let mut launch = read_file().and_then(|top| read(&top)).map_err(|e| format!("RELAY_CONFIG {e}"))?;
+    let top = read_file().map_err(|e| format!("RELAY_CONFIG {e}"))?;
+    let mut launch = read(&top).map_err(named)?;
     launch.pools = pools(&launch.start.offerings)?;
     launch.group = group()?;
     Ok(launch)
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -37,9 +37,15 @@
     pub orders: usize,
     /// A connection's first message, and the rest of each frame that has begun, come whole within this.
     pub whole_ms: u64,
-    /// A connection that was refused is still read for so long and so much, that its peer hears of it.
+    /// A connection that this side ends is still read for so long and so much, that its peer hears of it; and for
+    /// so long where descriptors run short, which is what a request that crosses the end may take.
     pub linger_ms: u64,
+    pub linger_crowded_ms: u64,
     pub linger_bytes: usize,
+    /// Connections that wait to be accepted; an address that is held is tried again for so long, with rests.
+    pub backlog: i32,
+    pub listen_within_ms: u64,
+    pub listen_rest_ms: u64,
     /// From this many connections on, those that have said nothing for the one span, and those idle for the
     /// other, make room.
     pub crowd: usize,
@@ -48,6 +54,8 @@
     /// At the cap, silent is who has said nothing for so long; so many make room at once.
     pub speaks_ms: f64,
     pub evictions: usize,
+    /// No further one that has spoken makes room while so many are ending.
+    pub ending: usize,
     /// Faults that end a connection, where they may be another's.
     pub faults: u32,
     /// Arrivals are no older than this.
@@ -83,6 +91,8 @@
     pub longest_wait_ms: f64,
     /// A connection that was told to close and does not is ended after this.
     pub closing_ms: f64,
+    /// The same once connections are refused: longer than a request may take that crosses the word.
+    pub closing_last_ms: f64,
     /// Accepting rests so long when descriptors are short.
     pub accept_rest_ms: u64,
     /// Before it is killed, the program ends this much earlier by itself.
@@ -121,12 +131,17 @@
             orders: 4096,
             whole_ms: 2200,
             linger_ms: 300,
+            linger_crowded_ms: 60,
+            backlog: 1024,
+            listen_within_ms: 8000,
+            listen_rest_ms: 20,
             linger_bytes: 256 << 10,
             crowd: connections * 3 / 4,
             idle_least_ms: 1000.0,
             silent_ms: 100.0,
             speaks_ms: 20.0,
             evictions: 32,
+            ending: 8,
             faults: 16,
             oldest_ms: 60_000.0,
             stall_ms: 10_000,
@@ -148,6 +163,7 @@
             read_late_ms: 10_000.0,
             longest_wait_ms: 3_600_000.0,
             closing_ms: 10_000.0,
+            closing_last_ms: 150.0,
             accept_rest_ms: 2,
             exit_early_ms: 20.0,
             closing_early_ms: 150.0,
--- a/crates/plovershelf-server/src/main.rs
+++ b/crates/plovershelf-server/src/main.rs
@@ -1,6 +1,7 @@
 //! One backend on real sockets: starts the parts, hands them their queues, and waits for the end.
 
 mod agent;
+mod connection;
 mod group;
 mod launch;
 mod ledger;
@@ -27,9 +28,27 @@
 use messages::Event;
 use owner::Owner;
 
+/// Listens where it was told; `None` where the notice to leave comes before the address is free.
+fn listen(signals: &mut Signals, launch: &Launch) -> Result<Option<Async<TcpListener>>, String> {
+    let listening =
+        async { sidecars::listen(launch.listen, &launch.limits).await.map(Some).map_err(launch::named) };
+    let told = async {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => launch.peers.read_again(&launch.told),
+                _ => return Ok(None),
+            }
+        }
+        future::pending().await
+    };
+    async_io::block_on(future::or(listening, told))
+}
+
 fn serve(mut signals: Signals, launch: Launch) -> Result<(), String> {
-    let listener = Async::<TcpListener>::bind(launch.listen)
-        .map_err(|e| format!("listening on {}: {e}", launch.listen))?;
+    let Some(listener) = listen(&mut signals, &launch)? else {
+        tracing::info!("told to leave before it listened");
+        return Ok(());
+    };
     // Tasks start others on it, so it lives as long as the program.
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
     let limits = Rc::new(launch.limits);
@@ -67,8 +86,10 @@
     let every = Duration::from_millis(limits.beat_ms);
     let roster = roster::keep_listed(peers.roster.clone(), launch.name.clone(), leaving.clone(), every);
     executor.spawn(roster).detach();
-    let accept = sidecars::accept(executor, listener, slots.clone(), events.clone(), limits.clone());
-    let accepting = executor.spawn(accept);
+    let (listening, stop) = async_channel::bounded(1);
+    let accept = sidecars::accept(executor, listener, stop, slots.clone(), events.clone(), limits.clone());
+    executor.spawn(accept).detach();
+    let (give_notice, notice) = async_channel::bounded(1);
     let (stop_ms, limits_told) = (launch.stop_ms, limits.clone());
     let obey = async move {
         while let Some(signal) = signals.next().await {
@@ -85,7 +106,7 @@
                     let within_ms = (stop_ms - 2.0 * limits_told.exit_early_ms).max(0.0);
                     let _ = in_group.try_send(group::Incoming::Leave { within_ms });
                 }
-                let _ = events.send(Event::Leave).await;
+                let _ = give_notice.try_send(owner::unix_ms());
             }
         }
     };
@@ -93,10 +114,10 @@
 
     tracing::info!("{} listens on {}", launch.name, launch.listen);
     let start = launch.start;
-    let owner = Owner::new(start, stop_ms, limits.clone(), inbox, calls, leaving, Some(accepting));
+    let owner = Owner::new(start, stop_ms, limits.clone(), (inbox, notice), calls, leaving, Some(listening));
     let mut owner = owner.with_pools(pools)?.with_pulse(pulse).with_copies(copied);
     let run = async {
-        owner.run().await;
+        let left = owner.run().await;
         // What was answered last is still on its way out of the connections' own tasks.
         drop(owner);
         let written = async {
@@ -104,9 +125,8 @@
                 Timer::after(Duration::from_millis(1)).await;
             }
         };
-        let late = Timer::after(Duration::from_secs_f64(limits.exit_early_ms / 2000.0));
         future::or(written, async {
-            late.await;
+            Timer::after(left).await;
         })
         .await;
     };
--- a/crates/plovershelf-server/src/messages.rs
+++ b/crates/plovershelf-server/src/messages.rs
@@ -2,15 +2,14 @@
 //! this module, and it uses none of them.
 
 use std::cell::Cell;
-use std::net::TcpStream;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use async_io::Async;
 use plovershelf::interface::CallEnd;
 use plovershelf_codec::agent::RunOver;
 use plovershelf_codec::TryId;
 
+use crate::connection::{Phase, Shared, Step};
 use crate::limits::Limits;
 
 /// All that can happen to the owner from outside.
@@ -28,10 +27,13 @@
         connection: u64,
         garbled: Option<&'static str>,
     },
-    /// Descriptors are short: an idle connection must go.
+    /// Descriptors are short: an idle connection must go. So many are open, those that are ending with them.
     Crowded {
         why: String,
+        open: usize,
     },
+    /// No further connection will come, and all that did were told of.
+    ListenerClosed,
     Agent(Said),
     /// A peer below did something wrong.
     Odd(String),
@@ -43,7 +45,6 @@
     Copies(crate::group::Told),
     /// The operator's file of pools was read again.
     Pools(plovershelf_pools::Plan),
-    Leave,
 }
 
 /// What the agent says, as the owner needs it.
@@ -106,10 +107,8 @@
     pub unwritten_all: Rc<Cell<usize>>,
     most: usize,
     most_all: usize,
-    /// To end the connection with what is unwritten.
-    stream: Option<Rc<Async<TcpStream>>>,
-    /// Nothing more of what comes is handed on.
-    pub deaf: Rc<Cell<bool>>,
+    /// How far its end is.
+    shared: Rc<Shared>,
 }
 
 /// Why a frame is not kept for a peer.
@@ -123,14 +122,13 @@
 
 impl Outbox {
     pub fn new(
-        stream: Option<Rc<Async<TcpStream>>>,
+        shared: Rc<Shared>,
         unwritten_all: Rc<Cell<usize>>,
         limits: &Limits,
     ) -> (Self, Receiver<Vec<u8>>) {
         let (frames, taken) = async_channel::unbounded();
         let (most, most_all) = (limits.unwritten_each, limits.unwritten_bytes);
-        let (unwritten, deaf) = (Rc::default(), Rc::default());
-        (Outbox { frames, unwritten, unwritten_all, most, most_all, stream, deaf }, taken)
+        (Outbox { frames, unwritten: Rc::default(), unwritten_all, most, most_all, shared }, taken)
     }
 
     pub fn push(&self, frame: Vec<u8>) -> Result<(), Unwritten> {
@@ -153,19 +151,48 @@
 
     /// What still comes is read and thrown away, so that the last answer reaches a peer that goes on writing.
     pub fn deafen(&self) {
-        self.deaf.set(true);
+        self.shared.step(Step::Deafen);
     }
 
     pub fn is_deaf(&self) -> bool {
-        self.deaf.get()
+        self.shared.phase() == Phase::Deaf
+    }
+
+    pub fn tell_closing(&self) {
+        self.shared.step(Step::TellClosing);
+    }
+
+    /// A frame of this connection has reached the owner.
+    pub fn arrived(&self) {
+        self.shared.waiting.set(self.shared.waiting.get().saturating_sub(1));
+    }
+
+    /// Something that the peer sent has not reached the owner yet.
+    pub fn hears(&self) -> bool {
+        self.shared.hears()
+    }
+
+    /// The rest of a message that has begun has not come yet.
+    pub fn inside(&self) -> bool {
+        self.shared.inside.get()
+    }
+
+    /// A whole message of the peer waits for the owner.
+    pub fn has_whole(&self) -> bool {
+        self.shared.waiting.get() > 0
     }
 
     /// Ends the connection at once; what is unwritten is not counted any longer.
     pub fn abort(self) {
         written(&self.unwritten, &self.unwritten_all, usize::MAX);
-        if let Some(stream) = self.stream {
-            let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
-        }
+        self.shared.step(Step::Abort);
+    }
+}
+
+impl Drop for Outbox {
+    /// Nothing more of what comes is handed on, as it could not be answered.
+    fn drop(&mut self) {
+        self.shared.step(Step::Deafen);
     }
 }
 
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -14,7 +14,6 @@
 use std::time::{Duration, SystemTime};
 
 use async_channel::{Receiver, Sender};
-use async_executor::Task;
 use async_io::Timer;
 use futures_lite::future;
 use plovershelf::interface::{Gauges, Outcome, RunEnd, Wake};
@@ -36,9 +35,21 @@
     /// Connections are told to close before the grace is over.
     Closing,
     GraceOver,
+    /// Connections that were told to close and rest are ended.
+    Resting,
     Exit,
 }
 
+/// How far the end of accepting is.
+enum Listener {
+    Open {
+        _until_dropped: Sender<()>,
+    },
+    /// What stands in the listen queue is still taken.
+    Closing,
+    Closed,
+}
+
 struct Connection {
     outbox: Outbox,
     /// Invocations read here and not answered yet, by sequence number.
@@ -99,10 +110,12 @@
 
 pub struct Owner {
     inbox: Receiver<Event>,
+    /// The notice to leave, with the time at which it came. It overtakes what waits in the queue, as its terms run
+    /// from then on.
+    notice: Receiver<f64>,
     ledger: Sender<Order>,
     leaving_told: Rc<Cell<bool>>,
-    /// Takes new connections until it is dropped.
-    accepting: Option<Task<()>>,
+    listener: Listener,
     limits: Rc<Limits>,
     start: Start,
     stop_ms: f64,
@@ -150,7 +163,7 @@
     handed_on: bool,
 }
 
-fn unix_ms() -> f64 {
+pub fn unix_ms() -> f64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
 }
 
@@ -159,17 +172,18 @@
         start: Start,
         stop_ms: f64,
         limits: Rc<Limits>,
-        inbox: Receiver<Event>,
+        (inbox, notice): (Receiver<Event>, Receiver<f64>),
         ledger: Sender<Order>,
         leaving_told: Rc<Cell<bool>>,
-        accepting: Option<Task<()>>,
+        listener: Option<Sender<()>>,
     ) -> Self {
         let idle_ms = start.facts.idle_most_ms;
         Owner {
             inbox,
+            notice,
             ledger,
             leaving_told,
-            accepting,
+            listener: listener.map_or(Listener::Closed, |_until_dropped| Listener::Open { _until_dropped }),
             start,
             stop_ms,
             backend: None,
@@ -228,10 +242,14 @@
         self
     }
 
-    /// Takes events and due times in turn until the notice to leave has been carried out.
-    pub async fn run(&mut self) {
+    /// Takes events and due times in turn until the notice to leave has been carried out. Hands back how long there is
+    /// until the end, in which the last answers may still go out.
+    pub async fn run(&mut self) -> Duration {
         while !self.over {
             self.tick();
+            if let Ok(told_at) = self.notice.try_recv() {
+                self.leave(told_at);
+            }
             if !self.take_due() {
                 let event = match self.inbox.try_recv() {
                     Ok(event) => Some(event),
@@ -246,6 +264,9 @@
                 pulse.count(self.start.facts.cores, &self.counted);
             }
         }
+        let exit = self.due.iter().find(|(_, due, _)| *due == Due::Exit);
+        let left_ms = exit.map_or(0.0, |(at, ..)| f64::from_bits(*at) - unix_ms());
+        Duration::from_secs_f64(left_ms.max(self.limits.exit_early_ms / 2.0) / 1000.0)
     }
 
     /// Until the next due time, or a while where there is none near.
@@ -261,16 +282,35 @@
             self.timer.set_after(Duration::from_secs_f64(self.wait_ms() / 1000.0));
             self.timer_for = due_at;
         }
-        let (inbox, timer) = (&self.inbox, &mut self.timer);
-        let event = future::or(async { inbox.recv().await.ok() }, async {
+        let (inbox, notice, timer) = (&self.inbox, &self.notice, &mut self.timer);
+        enum Come {
+            Event(Option<Event>),
+            Notice(Option<f64>),
+            Time,
+        }
+        let told = async {
+            match notice.recv().await {
+                Ok(at) => Come::Notice(Some(at)),
+                Err(_) => future::pending().await,
+            }
+        };
+        let events = async { Come::Event(inbox.recv().await.ok()) };
+        let time = async {
             timer.await;
-            None
-        })
-        .await;
-        if event.is_none() {
-            self.timer_for = None;
+            Come::Time
+        };
+        match future::or(told, future::or(events, time)).await {
+            Come::Event(event) => event,
+            Come::Notice(told_at) => {
+                self.tick();
+                told_at.into_iter().for_each(|at| self.leave(at));
+                None
+            }
+            Come::Time => {
+                self.timer_for = None;
+                None
+            }
         }
-        event
     }
 
     /// The system's clock, which never goes back here.
@@ -302,8 +342,15 @@
             // What comes from now on would only be turned away: refused connections send it elsewhere sooner.
             Due::GraceOver => {
                 self.grace_over = true;
-                self.accepting = None;
+                if matches!(self.listener, Listener::Open { .. }) {
+                    self.listener = Listener::Closing;
+                }
                 self.tell_all_closing();
+                self.at(self.limits.closing_last_ms, Due::Resting);
+            }
+            Due::Resting => {
+                self.end_resting(self.limits.closing_last_ms);
+                self.at(self.limits.closing_last_ms / 3.0, Due::Resting);
             }
             Due::Exit => self.over = true,
         }
@@ -323,20 +370,26 @@
                     faults: 0,
                 };
                 self.connections.insert(connection, fresh);
+                if self.grace_over {
+                    self.tell_closing(connection);
+                }
                 if self.connections.len() > self.limits.crowd {
                     self.make_room(self.limits.silent_ms, self.limits.idle_least_ms);
                 }
             }
-            Event::Frame { connection, frame } => self.read(connection, frame),
+            Event::Frame { connection, frame } => {
+                self.connections.get(&connection).into_iter().for_each(|peer| peer.outbox.arrived());
+                self.read(connection, frame);
+            }
             Event::Ended { connection, garbled: Some(what) } => self.deafen(connection, what),
             Event::Ended { connection, garbled: None } => self.lost(connection),
-            Event::Crowded { why } => self.crowded(&why),
+            Event::Crowded { why, open } => self.crowded(&why, open),
+            Event::ListenerClosed => self.listener = Listener::Closed,
             Event::Agent(said) => self.hear(said),
             Event::Odd(what) => self.complain(&what),
             Event::CallOver { id, over } => self.call_over(id, over),
             Event::Copies(told) => self.copies_told(told),
             Event::Pools(plan) => self.replan(plan),
-            Event::Leave => self.leave(),
         }
     }
 
@@ -346,7 +399,8 @@
             self.decide(|backend, now| backend.run_ended(now, id, end));
         }
         let idle = || self.connections.is_empty() && self.open.values().all(|open| open.answered);
-        self.over |= self.grace_over && self.handed_on && idle();
+        let accepts = !matches!(self.listener, Listener::Closed);
+        self.over |= self.grace_over && !accepts && self.handed_on && idle();
     }
 
     /// Asks the module and carries out what it says.
@@ -357,18 +411,20 @@
         }
     }
 
-    fn leave(&mut self) {
+    /// The notice came at this time; what follows from it counts from then on, however late it is read.
+    fn leave(&mut self, told_at: f64) {
         if self.leaving_told.replace(true) {
             return;
         }
         tracing::info!("told to leave");
-        let stop_ms = self.stop_ms;
-        let refuse_from = self.start.facts.grace_ms.min(stop_ms - self.limits.refuse_early_ms);
+        let late_ms = (self.now - told_at).clamp(0.0, self.stop_ms);
+        let stop_ms = self.stop_ms - late_ms;
+        let refuse_from = (self.start.facts.grace_ms - late_ms).min(stop_ms - self.limits.refuse_early_ms);
         // What comes inside the grace is run, so its callers keep their connections until shortly before.
         self.at((refuse_from - self.limits.closing_early_ms).max(0.0), Due::Closing);
         self.at(refuse_from.max(0.0), Due::GraceOver);
         self.at((stop_ms - self.limits.exit_early_ms).max(0.0), Due::Exit);
-        self.decide(|backend, now| backend.told_to_leave(now, now + stop_ms));
+        self.decide(|backend, now| backend.told_to_leave(now, now - late_ms, now + stop_ms));
     }
 }
 
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -249,8 +249,12 @@
 
     /// No more connections are taken until some are gone: all that have said nothing since they were made, as a
     /// sidecar does not, and else the one idle for longest.
-    pub(super) fn crowded(&mut self, why: &str) {
+    pub(super) fn crowded(&mut self, why: &str, open: usize) {
         self.complain(why);
+        // Those that are ending already make room soon.
+        if open.saturating_sub(self.connections.len()) > self.limits.ending {
+            return;
+        }
         let mut left = self.limits.evictions;
         while left > 0 && self.make_room(self.limits.speaks_ms, 0.0) {
             left -= 1;
@@ -264,22 +268,52 @@
         let silent = |c: &Connection| !c.spoke && c.idle_since <= silent_from;
         let goes = |c: &Connection| silent(c) || (c.spoke && c.open.is_empty() && c.idle_since <= idle_from);
         let all = self.connections.iter().filter(|(_, c)| goes(c));
-        let first = all.min_by_key(|(_, c)| (c.faults == 0 && !silent(c), c.idle_since.to_bits()));
-        let Some((connection, spoke)) = first.map(|(number, c)| (*number, c.spoke)) else { return false };
-        // One whose peer takes nothing would keep its descriptor until its writer gives up.
-        let unwritten = self.connections[&connection].outbox.waits() > 0;
-        if unwritten || !spoke {
+        let mut all: Vec<_> =
+            all.map(|(n, c)| ((c.faults == 0 && !silent(c), c.idle_since.to_bits()), *n)).collect();
+        all.sort_unstable();
+        // A request of it may be on its way to here: it is read first, and then the connection is not idle any more.
+        let rests = |connection: &u64| {
+            let c = &self.connections[connection];
+            !(c.outbox.has_whole() || (c.spoke && (c.outbox.hears() || c.outbox.inside())))
+        };
+        let first = all.into_iter().map(|(_, number)| number).find(rests);
+        let Some(connection) = first else { return false };
+        let spoke = self.connections[&connection].spoke;
+        if !spoke {
             self.complain("a connection that says nothing makes room");
+        }
+        // One whose peer takes nothing would keep its descriptor until its writer gives up.
+        if self.connections[&connection].outbox.waits() > 0 {
             self.lost(connection);
         } else {
-            self.tell_closing(connection);
-            self.connections.remove(&connection);
+            self.end(connection);
         }
         !spoke
     }
 
+    /// Ends a connection on which nothing is open: its peer hears so, and what crosses that is not taken.
+    fn end(&mut self, connection: u64) {
+        self.tell_closing(connection);
+        self.connections.remove(&connection);
+    }
+
+    /// Ends connections that were told to close so long ago and rest, with nothing of theirs on the way.
+    pub(super) fn end_resting(&mut self, told_ms: f64) {
+        let now = self.now;
+        // A message that has begun has as long again to come whole.
+        let span_ms = |c: &Connection| if c.outbox.inside() { 2.0 * told_ms } else { told_ms };
+        let told = |c: &Connection| c.closing_since.is_some_and(|since| since + span_ms(c) <= now);
+        let rests = |c: &Connection| c.open.is_empty() && told(c) && !c.outbox.hears();
+        let all = self.connections.iter().filter(|(_, c)| rests(c));
+        let all: Vec<u64> = all.map(|(number, _)| *number).collect();
+        all.into_iter().for_each(|connection| self.end(connection));
+    }
+
     /// Nothing more is read from a connection; what is open on it is still answered.
     pub(super) fn deafen(&mut self, connection: u64, why: &str) {
+        if !self.connections.contains_key(&connection) {
+            return;
+        }
         self.complain(&format!("connection {connection}: {why}"));
         let Some(peer) = self.connections.get_mut(&connection) else { return };
         peer.outbox.deafen();
@@ -299,6 +333,7 @@
         let Some(peer) = self.connections.get_mut(&connection) else { return };
         if peer.closing_since.is_none() {
             peer.closing_since = Some(self.now);
+            peer.outbox.tell_closing();
             self.send(connection, front::closing());
         }
     }
@@ -358,13 +393,11 @@
 
     /// Connections that were not used for the module's idle span are told to close, and ended if they stay.
     pub(super) fn close_idle(&mut self) {
-        let (told_before, idle_before) = (self.now - self.limits.closing_ms, self.now - self.idle_ms);
-        let idle = || self.connections.iter().filter(|(_, c)| c.open.is_empty());
-        let stays = idle().filter(|(_, c)| c.closing_since.is_some_and(|since| since <= told_before));
-        let stays: Vec<u64> = stays.map(|(number, _)| *number).collect();
-        let long = idle().filter(|(_, c)| c.idle_since <= idle_before);
+        let idle_before = self.now - self.idle_ms;
+        let idle = self.connections.iter().filter(|(_, c)| c.open.is_empty());
+        let long = idle.filter(|(_, c)| c.idle_since <= idle_before);
         let long: Vec<u64> = long.map(|(number, _)| *number).collect();
+        self.end_resting(self.limits.closing_ms);
         long.into_iter().for_each(|connection| self.tell_closing(connection));
-        stays.into_iter().for_each(|connection| drop(self.connections.remove(&connection)));
     }
 }
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::connection::Shared;
 use crate::messages::{CallOver, Said};
 use crate::repeats::Known;
 use plovershelf::interface::CallEnd;
@@ -11,6 +12,7 @@
     commands: Receiver<Vec<u8>>,
     calls: Receiver<Order>,
     peers: Vec<Receiver<Vec<u8>>>,
+    shared: Vec<Rc<Shared>>,
     unwritten: Rc<Cell<usize>>,
 }
 
@@ -22,10 +24,12 @@
     fn with(limits: Limits) -> Self {
         let start = plovershelf_facts::read(SETTINGS, 7).expect("settings");
         let (calls, orders) = async_channel::bounded(16);
-        let inbox = async_channel::bounded(1).1;
-        let owner = Owner::new(start, 3000.0, Rc::new(limits), inbox, calls, Rc::default(), None);
+        let (inbox, notice) = (async_channel::bounded(1).1, async_channel::bounded(1).1);
+        let queues = (inbox, notice);
+        let owner = Owner::new(start, 3000.0, Rc::new(limits), queues, calls, Rc::default(), None);
         let commands = async_channel::bounded(1).1;
-        let mut stage = Stage { owner, commands, calls: orders, peers: Vec::new(), unwritten: Rc::default() };
+        let (peers, shared, unwritten) = (Vec::new(), Vec::new(), Rc::default());
+        let mut stage = Stage { owner, commands, calls: orders, peers, shared, unwritten };
         stage.link_up();
         stage
     }
@@ -38,7 +42,9 @@
 
     fn connect(&mut self) -> u64 {
         let connection = self.peers.len() as u64;
-        let (outbox, frames) = Outbox::new(None, self.unwritten.clone(), &self.owner.limits);
+        let shared = Shared::new(None, Rc::default());
+        let (outbox, frames) = Outbox::new(shared.clone(), self.unwritten.clone(), &self.owner.limits);
+        self.shared.push(shared);
         self.owner.take(Event::Opened { connection, outbox });
         self.peers.push(frames);
         connection
@@ -421,7 +427,7 @@
     for connection in [late, newest] {
         stage.owner.connections.get_mut(&connection).expect("it is open").idle_since -= 50.0;
     }
-    stage.owner.take(Event::Crowded { why: "none left".into() });
+    stage.owner.take(Event::Crowded { why: "none left".into(), open: 0 });
     assert_eq!(open(&stage), [spoke]);
 }
 
@@ -476,7 +482,7 @@
     stage.owner.connections.values_mut().for_each(|c| c.spoke = true);
     stage.send(busy, dispatch(1, 1, "plain", &[], b""));
     stage.owner.connections.get_mut(&second).expect("it is open").idle_since -= 1.0;
-    stage.owner.take(Event::Crowded { why: "none left".into() });
+    stage.owner.take(Event::Crowded { why: "none left".into(), open: 0 });
     assert!(!stage.owner.connections.contains_key(&second) && stage.peers[second as usize].is_closed());
     stage.owner.now += stage.owner.idle_ms;
     stage.owner.close_idle();
@@ -501,18 +507,19 @@
 #[test]
 fn after_the_notice_late_arrivals_are_not_run_and_all_is_answered_before_the_stop() {
     let mut stage = Stage::new();
-    let executor = async_executor::LocalExecutor::new();
-    stage.owner.accepting = Some(executor.spawn(async {}));
+    let (listening, accepts) = async_channel::bounded(1);
+    stage.owner.listener = Listener::Open { _until_dropped: listening };
     let peer = stage.connect();
     stage.send(peer, dispatch(1, 1, "plain", &[], b""));
-    stage.owner.take(Event::Leave);
-    assert!(stage.owner.accepting.is_some());
+    stage.owner.leave(stage.owner.now);
+    assert!(!accepts.is_closed());
     assert!(stage.owner.leaving_told.get());
     assert_eq!(stage.heard(peer), []);
     stage.pass(200.0);
     assert_eq!(stage.heard(peer), [Heard::Closing]);
     stage.pass(200.0);
-    assert!(stage.owner.accepting.is_none());
+    assert!(accepts.is_closed());
+    stage.owner.take(Event::ListenerClosed);
     stage.commands();
     let came = (stage.owner.now as u64).to_string();
     stage.owner.take(Event::Frame { connection: peer, frame: dispatch(2, 2, "plain", &[("s", &came)], b"") });
@@ -530,7 +537,7 @@
 fn one_told_to_leave_before_its_agent_is_up_takes_nothing() {
     let mut stage = Stage::new();
     stage.owner.backend = None;
-    stage.owner.take(Event::Leave);
+    stage.owner.leave(stage.owner.now);
     stage.link_up();
     let peer = stage.connect();
     stage.send(peer, dispatch(1, 1, "plain", &[], b""));
@@ -604,10 +611,12 @@
 #[test]
 fn a_read_under_another_s_key_runs_by_itself() {
     let mut stage = Stage::new();
-    stage.owner.start.facts.share_answers_ms = 1000.0;
+    (stage.owner.start.facts.share_answers_ms, stage.owner.backend) = (1000.0, None);
+    stage.link_up();
     let peer = stage.connect();
     stage.send(peer, dispatch(1, 1, "plain", &[("o", "9")], b"one"));
     stage.send(peer, dispatch(2, 2, "plain", &[("o", "9")], b"two"));
+    stage.send(peer, dispatch(3, 3, "plain", &[("o", "9")], b"one"));
     assert_eq!(stage.commands().len(), 2);
 }
 
@@ -634,3 +643,80 @@
     stage.send(peer, dispatch(3, 3, "plain", &[], b""));
     assert_eq!((stage.heard(peer), stage.commands().len()), (vec![Heard::Dismissed(2)], 2));
 }
+
+/// The notice is read late, behind a full queue: its grace and its stop count from when it came.
+#[test]
+fn the_terms_of_the_notice_run_from_when_it_came() {
+    let mut stage = Stage::new();
+    let (listening, accepts) = async_channel::bounded(1);
+    stage.owner.listener = Listener::Open { _until_dropped: listening };
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.owner.leave(stage.owner.now - 250.0);
+    // The grace of 300 ms is over 50 ms from now; what comes then is not run.
+    stage.pass(60.0);
+    assert!(accepts.is_closed());
+    stage.commands();
+    let came = (stage.owner.now as u64).to_string();
+    stage.owner.take(Event::Frame { connection: peer, frame: dispatch(2, 2, "plain", &[("s", &came)], b"") });
+    assert_eq!(stage.heard(peer), [Heard::Closing, Heard::Dismissed(2)]);
+    // All is answered 40 ms before the stop, which is 3000 ms after the notice.
+    stage.pass(2960.0 - 310.0 + 10.0);
+    assert_eq!(stage.heard(peer), [Heard::Dismissed(1)]);
+}
+
+/// The notice overtakes what waits in the queue.
+#[test]
+fn the_notice_is_heard_before_the_events_that_wait() {
+    let mut stage = Stage::new();
+    let (events, inbox) = async_channel::bounded(600);
+    let (give, notice) = async_channel::bounded(1);
+    (stage.owner.inbox, stage.owner.notice) = (inbox, notice);
+    (0..600).for_each(|_| events.try_send(Event::Odd("a flood".into())).expect("a place"));
+    give.try_send(stage.owner.now - 10_000.0).expect("a place");
+    async_io::block_on(stage.owner.run());
+    // The stop is long past, so none of the flood was taken.
+    assert!(stage.owner.over && events.len() >= 599);
+}
+
+/// A request of the connection that was chosen to make room has been read, but waits for the queue.
+#[test]
+fn a_connection_with_a_frame_on_its_way_does_not_make_room() {
+    let mut stage = Stage::new();
+    let (first, second) = (stage.connect(), stage.connect());
+    stage.owner.connections.values_mut().for_each(|c| c.spoke = true);
+    stage.owner.connections.get_mut(&first).expect("it is open").idle_since -= 5000.0;
+    stage.shared[first as usize].waiting.set(1);
+    stage.owner.take(Event::Crowded { why: "none left".into(), open: 4 });
+    assert!(stage.owner.connections.contains_key(&first) && !stage.owner.connections.contains_key(&second));
+    // Nor does it end as one that was told to close and rests.
+    stage.owner.tell_closing(first);
+    stage.owner.now += stage.owner.limits.closing_ms;
+    stage.owner.close_idle();
+    assert!(stage.owner.connections.contains_key(&first));
+    stage.send(first, dispatch(1, 1, "plain", &[], b""));
+    stage.run_over(1, RunOver::Success, b"x");
+    assert_eq!(stage.heard(first), [Heard::Closing, Heard::Succeeded(1, b"x".to_vec())]);
+}
+
+/// A frame that is taken from the queue after its connection was ended is not sent on: it could not be answered.
+#[test]
+fn a_frame_that_comes_behind_the_end_of_its_connection_runs_nothing() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.owner.connections.get_mut(&peer).expect("it is open").spoke = true;
+    stage.owner.take(Event::Crowded { why: "none left".into(), open: 3 });
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    assert_eq!((stage.commands(), stage.owner.open.len()), (vec![], 0));
+}
+
+/// While enough connections are ending, no further ones that have spoken go for the same room.
+#[test]
+fn what_is_ending_already_counts_as_room() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.owner.connections.get_mut(&peer).expect("it is open").spoke = true;
+    let open = stage.owner.limits.ending + 2;
+    stage.owner.take(Event::Crowded { why: "none left".into(), open });
+    assert!(stage.owner.connections.contains_key(&peer));
+}
--- /dev/null
+++ b/crates/plovershelf-server/src/sidecars/tests.rs
@@ -0,0 +1,119 @@
+use super::*;
+use crate::messages::Unwritten;
+use std::io::{Read, Write};
+
+#[test]
+fn a_peer_that_takes_nothing_ends_its_writer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let near = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    let (_far, _) = listener.accept().expect("its other end");
+    let shared = Shared::new(Some(Async::new(near).expect("a stream")), Rc::default());
+    let limits = Limits { unwritten_each: usize::MAX, unwritten_bytes: usize::MAX, ..Limits::of(64.0, 64) };
+    let (outbox, frames) = Outbox::new(shared.clone(), Rc::default(), &limits);
+    (0..64).for_each(|_| outbox.push(vec![0; 1 << 20]).expect("room"));
+    let (unwritten, all) = (outbox.unwritten.clone(), outbox.unwritten_all.clone());
+    async_io::block_on(write_frames(&shared, frames, &unwritten, &all, 50));
+    assert!(outbox.waits() > 0);
+    assert_eq!(outbox.push(vec![0]), Err(Unwritten::Here));
+}
+
+/// A listener with these callers in its queue, each of which has sent what stands behind it.
+fn queued(callers: &[&[u8]]) -> (Async<TcpListener>, Vec<TcpStream>) {
+    let listener = bind("127.0.0.1:0".parse().expect("an address"), 1024).expect("a free port");
+    let at = listener.get_ref().local_addr().expect("an address");
+    let calls = callers.iter().map(|said| {
+        let mut stream = TcpStream::connect(at).expect("a place in the queue");
+        stream.write_all(said).expect("it is taken");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
+        stream
+    });
+    (listener, calls.collect())
+}
+
+fn leaked() -> &'static LocalExecutor<'static> {
+    Box::leak(Box::default())
+}
+
+/// The end of accepting falls between a request's coming and its being accepted.
+#[test]
+fn what_stands_in_the_listen_queue_is_taken_before_the_listener_goes() {
+    let (listener, mut callers) = queued(&[&b"\0\0\0\x03one"[..]; 100]);
+    let (listening, stop) = async_channel::bounded(1);
+    drop(listening);
+    let (events, inbox) = async_channel::bounded(1);
+    let limits = Rc::new(Limits::of(64.0, 512));
+    let executor = leaked();
+    let play = async {
+        let (mut open, mut frames) = (Vec::new(), 0);
+        executor.spawn(accept(executor, listener, stop, Rc::new(()), events, limits)).detach();
+        while frames < 100 {
+            match inbox.recv().await.expect("a word") {
+                Event::Opened { outbox, .. } => {
+                    outbox.push(b"answer".to_vec()).expect("room");
+                    open.push(outbox);
+                }
+                Event::Frame { .. } => frames += 1,
+                Event::ListenerClosed => assert_eq!(open.len(), 100),
+                _ => panic!("nothing else is said"),
+            }
+        }
+    };
+    async_io::block_on(executor.run(play));
+    let mut answer = [0; 6];
+    for caller in &mut callers {
+        caller.read_exact(&mut answer).expect("an answer");
+        assert_eq!(&answer, b"answer");
+    }
+}
+
+/// The owner ends a connection while more of its frames wait for the queue, more lies unread in the socket, and its peer
+/// writes on: a close would reset it.
+#[test]
+fn an_end_over_unread_bytes_lets_the_last_answer_through_and_hands_nothing_more_on() {
+    let frame = b"\0\0\0\x03one";
+    let (listener, mut callers) = queued(&[&frame.repeat(3000)]);
+    let (_listening, stop) = async_channel::bounded(1);
+    let (events, inbox) = async_channel::bounded(1);
+    let limits = Rc::new(Limits { linger_ms: 20_000, ..Limits::of(64.0, 512) });
+    let (slots, executor) = (Rc::new(()), leaked());
+    let far = std::thread::spawn(move || {
+        let mut all = Vec::new();
+        let ended = callers[0].read_to_end(&mut all).map_err(|error| error.kind());
+        // A reset would show in one of these.
+        let writes = std::iter::repeat_with(|| {
+            std::thread::sleep(Duration::from_millis(1));
+            callers[0].write_all(b"more").map_err(|error| error.kind())
+        });
+        (all, ended, writes.take(100).find_map(Result::err))
+    });
+    let play = async {
+        executor.spawn(accept(executor, listener, stop, slots.clone(), events, limits)).detach();
+        let Ok(Event::Opened { outbox, .. }) = inbox.recv().await else { panic!("a connection first") };
+        assert!(matches!(inbox.recv().await, Ok(Event::Frame { .. })));
+        outbox.push(b"the last answer".to_vec()).expect("room");
+        drop(outbox);
+        // One more waits for its place in the queue and one stands in it; what follows is thrown away.
+        let mut more = 0;
+        loop {
+            match inbox.recv().await.expect("a word") {
+                Event::Frame { .. } => more += 1,
+                Event::Ended { .. } => break,
+                _ => panic!("nothing else is said"),
+            }
+        }
+        assert!(more <= 2, "{more}");
+        // The descriptor goes with the peer's own end.
+        while Rc::strong_count(&slots) > 2 {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    };
+    async_io::block_on(executor.run(play));
+    assert_eq!(far.join().expect("its words"), (b"the last answer".to_vec(), Ok(15), None));
+}
+
+/// As many callers as a fleet has come back in the instant in which nobody accepts.
+#[test]
+fn the_listen_queue_holds_a_fleet_of_callers() {
+    let (_listener, callers) = queued(&[&b"x"[..]; 300]);
+    assert_eq!(callers.len(), 300);
+}
--- /dev/null
+++ b/crates/plovershelf-server/tests/crossings.rs
@@ -0,0 +1,165 @@
+//! Bytes, signals and ends that cross each other at one backend's process. `docs/crossings.md` lists them.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener};
+use std::process::{Command, Stdio};
+
+use common::{started_with, Backend};
+use plovershelf_standins::scripted::{alive, dispatch, Heard, Lines, Sidecar};
+
+const SMALL: &str = r#"{"cores": 1.0, "memory_mb": 64, "sockets": 64}"#;
+
+/// The predecessor still holds the address as its successor starts.
+#[test]
+fn an_address_that_is_still_held_is_waited_for() {
+    let told = Backend::start(SMALL);
+    let held = plovershelf_standins::free_address().expect("a free port").to_string();
+    let predecessor = TcpListener::bind(&held).expect("a free port");
+    let own = told.configuration.with_extension("held.json");
+    std::fs::write(&own, told.text.replace(&told.address, &held)).expect("a file of its own");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
+    let mut child = command.env("RELAY_CONFIG", &own).stderr(Stdio::piped()).spawn().expect("the program");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    assert!(line.contains("is held by another"), "{line}");
+    drop(predecessor);
+    line.clear();
+    log.read_line(&mut line).expect("a line");
+    assert!(line.contains("listens on"), "{line}");
+    let mut sidecar = Sidecar::to(&held);
+    sidecar.send(&alive(1));
+    assert_eq!(sidecar.hear(), Some(Heard::Fit(1, true)));
+    child.kill().expect("it runs");
+    child.wait().expect("its end");
+    std::fs::remove_file(own).expect("it is there");
+}
+
+/// Told to leave while the address is still held: it ends well, and at once.
+#[test]
+fn the_notice_to_leave_is_heard_before_there_is_a_listener() {
+    let told = Backend::start(SMALL);
+    let held = plovershelf_standins::free_address().expect("a free port").to_string();
+    let _predecessor = TcpListener::bind(&held).expect("a free port");
+    let own = told.configuration.with_extension("held.json");
+    std::fs::write(&own, told.text.replace(&told.address, &held)).expect("a file of its own");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
+    let mut child = command.env("RELAY_CONFIG", &own).stderr(Stdio::piped()).spawn().expect("the program");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    let kill = format!("kill -TERM {}", child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().expect("sh").success());
+    assert_eq!(child.wait().expect("its end").code(), Some(0));
+    std::fs::remove_file(own).expect("it is there");
+}
+
+#[test]
+fn an_address_that_is_not_this_machine_s_ends_the_start_with_one_line_that_names_it() {
+    let told = Backend::start(SMALL);
+    let (child, path) = started_with(&told.text.replace(&told.address, "192.0.2.1:9090"));
+    let output = child.wait_with_output().expect("its end");
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    assert!(said.contains("\"listen\"") && said.contains(&*path.to_string_lossy()), "{said}");
+}
+
+/// Some clients rest until the backend ends them, and write in that very moment.
+#[test]
+fn a_resting_connection_ends_in_order_after_the_notice_whatever_it_still_sends() {
+    let (backend, mut agent) = Backend::up(SMALL);
+    let (mut resting, mut busy) = (backend.sidecar(), Sidecar::to(&backend.address));
+    busy.send(&dispatch(1, 1, "plain", &[], b""));
+    agent.expect("launch");
+    resting.send(&alive(1));
+    assert_eq!(resting.hear(), Some(Heard::Fit(1, true)));
+    backend.signal("TERM");
+    assert_eq!(resting.hear(), Some(Heard::Closing));
+    // Half a frame crosses the end.
+    resting.0.write_all(&[0, 0, 0, 90, 0x80]).expect("a connection that takes bytes");
+    let mut rest = Vec::new();
+    // An end, not a reset, though this side writes on and never closes.
+    resting.0.read_to_end(&mut rest).expect("an end in order");
+    assert!(rest.is_empty(), "{rest:?}");
+    assert_eq!(busy.hear(), Some(Heard::Closing));
+    agent.say("outcome 2 0000000000000001 success 1", Some(b"x"));
+    assert_eq!(busy.hear(), Some(Heard::Succeeded(1, b"x".to_vec())));
+    assert_eq!(busy.0.read(&mut [0]).expect("an end in order"), 0);
+    assert_eq!(backend.end().status.code(), Some(0));
+}
+
+/// What a client has sent behind what was wrong lies unread as the last answer goes out.
+#[test]
+fn the_last_answer_reaches_a_peer_that_writes_on_and_its_end_is_no_reset() {
+    let (backend, mut agent) = Backend::up(SMALL);
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(1, 1, "plain", &[], b""));
+    agent.expect("launch");
+    sidecar.send(&dispatch(1, 2, "plain", &[], b"under a number in use"));
+    assert_eq!(sidecar.hear(), Some(Heard::Closing));
+    sidecar.0.write_all(&[7; 20_000]).expect("a connection that takes bytes");
+    agent.say("outcome 2 0000000000000001 success 1", Some(b"x"));
+    assert_eq!(sidecar.hear(), Some(Heard::Succeeded(1, b"x".to_vec())));
+    assert_eq!(sidecar.0.read(&mut [0]).expect("an end in order"), 0);
+    sidecar.0.shutdown(Shutdown::Both).expect("its own end");
+}
+
+/// Discovery is down and idle clients hold every descriptor that there is: new callers and checks still get in, and
+/// heartbeats go on.
+#[test]
+fn idle_clients_that_never_close_give_way_to_checks_and_requests_while_discovery_is_down() {
+    let (backend, mut agent) = Backend::up(r#"{"cores": 1.0, "memory_mb": 64, "sockets": 48}"#);
+    let mut kept = Vec::new();
+    for seqid in 1..=60 {
+        let mut idle = backend.sidecar();
+        idle.send(&alive(seqid));
+        assert_eq!(idle.hear(), Some(Heard::Fit(seqid, true)));
+        kept.push(idle);
+    }
+    for id in 1..=20u64 {
+        let mut sidecar = backend.sidecar();
+        sidecar.send(&dispatch(1, id, "plain", &[], b""));
+        agent.expect("launch");
+        agent.say(&format!("outcome {} {id:016x} success 1", id + 1), Some(b"x"));
+        assert_eq!(sidecar.hear(), Some(Heard::Succeeded(1, b"x".to_vec())));
+        kept.push(sidecar);
+    }
+    let mut beat = [0; 64];
+    for _ in 0..3 {
+        let length = backend.roster.recv(&mut beat).expect("a beat");
+        assert_eq!(&beat[..length], b"BEAT n1 ready");
+    }
+    // Those that gave way were told so, and ended in order.
+    assert_eq!(kept[0].hear(), Some(Heard::Closing));
+    assert_eq!(kept[0].0.read(&mut [0]).expect("an end in order"), 0);
+    let id = backend.child.as_ref().expect("it runs").id();
+    let open = std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors").count();
+    assert!(open <= 48, "{open}");
+}
+
+/// The notice twice, a new configuration in the middle of it, and one that is only half written.
+#[test]
+fn signals_that_follow_on_the_notice_change_nothing_of_it() {
+    let (mut backend, mut agent) = Backend::up(SMALL);
+    let mut sidecar = backend.sidecar();
+    sidecar.send(&dispatch(1, 1, "plain", &[], b""));
+    agent.expect("launch");
+    backend.signal("TERM");
+    std::fs::write(&backend.configuration, &backend.text[..backend.text.len() / 2]).expect("its file");
+    (0..2).for_each(|_| backend.signal("HUP"));
+    backend.signal("TERM");
+    let _old = backend.peers_move();
+    backend.signal("TERM");
+    let mut moved = Lines::accept(&backend.agent);
+    assert_eq!(agent.next_line(), None);
+    moved.expect("subscribe 0");
+    moved.say("greeting steady 1000", None);
+    moved.sampled();
+    moved.say("outcome 2 0000000000000001 success 1", Some(b"x"));
+    let heard: Vec<Heard> = std::iter::from_fn(|| sidecar.hear()).collect();
+    assert_eq!(heard.len(), 2, "{heard:?}");
+    assert!(heard.contains(&Heard::Closing) && heard.contains(&Heard::Succeeded(1, b"x".to_vec())));
+    assert_eq!(backend.end().status.code(), Some(0));
+}
--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -1,141 +1,14 @@
 //! The program itself on loopback, among stand-ins for its agent, its ledger, the roster and sidecars.
 
+mod common;
+
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::net::TcpListener;
+use std::process::Command;
 use std::time::Duration;
 
-use plovershelf_standins::scripted::{alive, cancel, dispatch, Heard, Lines, Sidecar, SETTINGS};
-
-/// A running backend with the listeners of those it talks to.
-struct Backend {
-    child: Option<Child>,
-    configuration: PathBuf,
-    text: String,
-    address: String,
-    agent: TcpListener,
-    ledger: TcpListener,
-    roster: UdpSocket,
-}
-
-fn local() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
-}
-
-fn started_with(text: &str) -> (Child, PathBuf) {
-    let number =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_nanos();
-    let path: PathBuf =
-        std::env::temp_dir().join(format!("plovershelf-{}-{number}.json", std::process::id()));
-    std::fs::write(&path, text).expect("a file of its own");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
-    command.env("RELAY_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
-    (command.spawn().expect("the program"), path)
-}
-
-impl Backend {
-    fn start(limits: &str) -> Self {
-        Self::start_as(limits, |text| text)
-    }
-
-    /// The same with another configuration, made from the usual one.
-    fn start_as(limits: &str, change: impl FnOnce(String) -> String) -> Self {
-        let (agent, ledger) = (local(), local());
-        let roster = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        roster.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
-        let address = plovershelf_standins::free_address().expect("a free port").to_string();
-        let text = format!(
-            r#"{{"name": "n1", "listen": "{address}", "agent": "{}", "records": "{}", "registry": "{}",
-                "seed": "8c1f30d27a5be964", "stop_ms": 1500, "limits": {limits}, "settings": {SETTINGS}}}"#,
-            agent.local_addr().expect("an address"),
-            ledger.local_addr().expect("an address"),
-            roster.local_addr().expect("an address"),
-        );
-        let text = change(text);
-        let (child, configuration) = started_with(&text);
-        Backend { child: Some(child), configuration, text, address, agent, ledger, roster }
-    }
-
-    /// A backend whose agent is up, and the agent's side of the link.
-    fn up(limits: &str) -> (Self, Lines) {
-        let backend = Self::start(limits);
-        let agent = backend.agent_up();
-        (backend, agent)
-    }
-
-    fn agent_up(&self) -> Lines {
-        let mut agent = self.link("subscribe 0", |_| ());
-        // The first sample after that of the link itself comes from a backend that has started.
-        agent.sampled();
-        agent
-    }
-
-    fn usual() -> (Self, Lines) {
-        Self::up(r#"{"cores": 1.0, "memory_mb": 192, "sockets": 1024}"#)
-    }
-
-    /// Takes the backend's next link, tells it what it missed, and lets it through.
-    fn link(&self, subscribes: &str, missed: impl Fn(&mut Lines)) -> Lines {
-        let mut link = Lines::accept(&self.agent);
-        link.expect(subscribes);
-        link.say("greeting steady 1000", None);
-        missed(&mut link);
-        link.sampled();
-        link
-    }
-
-    fn sidecar(&self) -> Sidecar {
-        for _ in 0..2000 {
-            if let Ok(stream) = TcpStream::connect(&self.address) {
-                return Sidecar::over(stream);
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        panic!("nothing listens")
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.as_ref().expect("it runs").id().to_string();
-        assert!(Command::new("sh")
-            .args(["-c", &format!("kill -{name} {id}")])
-            .status()
-            .expect("sh")
-            .success());
-    }
-
-    /// Replaces the configuration by one that names new peers; the old ones are handed back.
-    fn peers_move(&mut self) -> (TcpListener, TcpListener) {
-        let (agent, ledger) = (local(), local());
-        let roster = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        roster.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
-        let at = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
-        for (old, new) in [
-            (self.agent.local_addr(), agent.local_addr()),
-            (self.ledger.local_addr(), ledger.local_addr()),
-            (self.roster.local_addr(), roster.local_addr()),
-        ] {
-            self.text = self.text.replace(&at(old), &at(new));
-        }
-        std::fs::write(&self.configuration, &self.text).expect("a file of its own");
-        self.signal("HUP");
-        self.roster = roster;
-        (std::mem::replace(&mut self.agent, agent), std::mem::replace(&mut self.ledger, ledger))
-    }
-
-    fn end(mut self) -> Output {
-        self.child.take().expect("it runs").wait_with_output().expect("its end")
-    }
-}
-
-impl Drop for Backend {
-    fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
+use common::{local, started_with, Backend};
+use plovershelf_standins::scripted::{alive, cancel, dispatch, Heard, Lines, Sidecar};
 
 #[test]
 fn an_invocation_goes_through_run_call_and_answer_with_its_bytes_unchanged() {
--- a/crates/plovershelf-wirehost/src/host.rs
+++ b/crates/plovershelf-wirehost/src/host.rs
@@ -82,7 +82,7 @@
                 };
                 backend.run_ended(now, id, end)
             }
-            261 => backend.told_to_leave(now, event.f64(6)),
+            261 => backend.told_to_leave(now, now, event.f64(6)),
             260 => {
                 self.hosted.remove(&instance);
                 return Ok(());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -357,9 +357,10 @@
         self.result()
     }
 
-    pub fn told_to_leave(&mut self, now: f64, stopped_at: f64) -> Outcome {
+    /// The notice may be read later than it was told; its terms run from then on.
+    pub fn told_to_leave(&mut self, now: f64, told_at: f64, stopped_at: f64) -> Outcome {
         self.pass_to(now);
-        self.leaving = Some((now + self.facts.grace_ms, stopped_at - STOP_MARGIN_MS));
+        self.leaving = Some((told_at + self.facts.grace_ms, stopped_at - STOP_MARGIN_MS));
         self.ids_of(|i| !matches!(i.state, State::Spent { .. })).into_iter().for_each(|id| self.set_due(id));
         self.advise();
         self.result()
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -281,7 +281,7 @@
 fn nothing_past_the_grace_is_run_and_all_is_answered_before_the_stop() {
     let mut backend = started(facts());
     backend.arrived(0.0, arrival(1, 3));
-    let outcome = backend.told_to_leave(100.0, 2000.0);
+    let outcome = backend.told_to_leave(100.0, 100.0, 2000.0);
     // What comes inside the grace is served, so callers are sent away only when it is nearly over.
     assert_eq!(outcome.words.fit, None);
     let outcome = backend.woke(350.0, Wake::Periodic, Gauges::default());
@@ -569,7 +569,7 @@
             4 => drop(backend.call_ended(now, one, CallEnd::ProvenNotRun)),
             5 => drop(backend.call_ended(now, one, CallEnd::Ok)),
             6 => drop(backend.run_ended(now, one, RunEnd::Ok)),
-            _ if step == 3500 => drop(backend.told_to_leave(now, now + 400.0)),
+            _ if step == 3500 => drop(backend.told_to_leave(now, now, now + 400.0)),
             _ => drop(backend.woke(now, Wake::Periodic, Gauges::default())),
         }
         for (state, order) in [(State::Held, &backend.hand.held), (State::AtCall, &backend.hand.wanting)] {
