The cold ramp holds as a sum: shared advice, and lost calls count while they linger

The test that wanted its repeat at once now wants it at once where the share has room, and after the lingering where not. Ruled out: what a cold backend lets in. Its quotas bound runs on the cores and tries out here whoever sends them, told or not.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -75,6 +75,8 @@
 /// Weight of a period's reading in smoothed gauges; the least share that is advised.
 const SMOOTH: f64 = 0.15;
 const SHARE_LEAST: f64 = 0.1;
+/// Advice is told anew when it moves by this part, of one at the most.
+const ADVICE_STEP: f64 = 0.02;
 /// How far the advised rank reaches into a bucket, for the part cut of it: not all callers heed.
 const ADVICE_PART: f64 = 1.5;
 
@@ -731,7 +733,8 @@
     /// without the pause its instant refusals are repeated without end. Harms where a slowdown is brief.
     fn learn_call(&mut self, took_ms: f64, end: CallEnd) {
         let (paused, least) = (self.now < self.calls_after, (CALLS_LEAST * self.call_share).max(1.0));
-        self.rest_after(took_ms, end == CallEnd::GivenUp);
+        // A call whose connection went bad was given up with it, and may stay below as long.
+        self.rest_after(took_ms, matches!(end, CallEnd::GivenUp | CallEnd::Lost));
         if end != CallEnd::Ok {
             self.calls_most = (self.calls_most * CALL_SHRINK_FAILED).max(least);
             if !(paused || end == CallEnd::Lost) {
@@ -820,12 +823,16 @@
                 let cut_rows = self.offerings.iter().filter(|o| cut(o) > 0.0);
                 cut_rows.map(|o| o.ranks_from + into(o)).fold(0.0, f64::max)
             }
+            // A part of the quota for each caller. One each may add up to more with many of them, which a cold
+            // one does not bear: there a fraction counts by chance.
             AdviceMeaning::OutstandingPerCaller => {
-                (self.facts.cores * self.quotas().1 / self.facts.callers).max(1.0)
+                let each = self.facts.cores * self.quotas().1 / self.facts.callers;
+                each.max(if self.warmth() < 1.0 { 0.0 } else { 1.0 })
             }
-            AdviceMeaning::ShareOfUsual => self.ease.max(SHARE_LEAST),
+            // A cold one takes no more of the usual than it has of its speed.
+            AdviceMeaning::ShareOfUsual => self.ease.min(self.warmth()).max(SHARE_LEAST),
         };
-        if (level - self.advised).abs() > 0.02 {
+        if (level - self.advised).abs() > ADVICE_STEP * self.advised.clamp(ADVICE_STEP, 1.0) {
             self.advised = level;
             self.out.words.advice = Some(level);
         }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -337,8 +337,16 @@
     assert!(backend.calls_most < most);
     let outcome = backend.woke(100.0, Wake::Periodic, Gauges::default());
     assert!(matches!(last(&outcome), State::Calling { .. }));
-    // One that was lost on its way says nothing of what lies below: its run calls again at once.
+    // One that was lost on its way says nothing of what lies below, so there is no pause: its run calls again at once
+    // where the share has room beside the lost one, which may linger, and else when that is over.
+    backend.calls_most = 2.0;
     let outcome = backend.call_ended(101.0, 1000, CallEnd::Lost);
+    assert_eq!(last(&outcome), State::AtCall);
+    assert!(backend.woke(250.0, Wake::Periodic, Gauges::default()).changes.is_empty());
+    let outcome = backend.woke(302.0, Wake::Periodic, Gauges::default());
+    assert!(matches!(last(&outcome), State::Calling { .. }));
+    backend.calls_most = 3.0;
+    let outcome = backend.call_ended(303.0, 1000, CallEnd::Lost);
     assert!(matches!(last(&outcome), State::Calling { .. }));
 }
 
