Trial ramp: cold backends under two dozen callers, and two dozen of them on one ledger

Need: the sum of what all processes send a cold server, shown on real processes beside the property test. The stand-ins tell how many runs are on the cores and how many those survive, and how many calls the ledger holds; nothing the backend says counts.

--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -9,6 +9,7 @@
 mod group;
 mod group_model;
 mod pools;
+mod ramp;
 mod zones;
 mod zones_model;
 
@@ -173,7 +174,7 @@
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 10] = [
+const TRIALS: [(&str, &str, Run); 11] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -189,6 +190,11 @@
         "a flood of the cheap, a costly burst, a slowdown; a ledger at 200 %; with pools and without",
         pools::run,
     ),
+    (
+        "ramp",
+        "cold backends under a flood of two dozen callers, and two dozen of them on one ledger; against ones told nothing",
+        ramp::run,
+    ),
     (
         "group",
         "nine backends in three zones as one group, at least twelve faults of six kinds; and without",
--- /dev/null
+++ b/crates/plovershelf-cli/src/trial/ramp.rs
@@ -0,0 +1,174 @@
+//! Cold backends and what all processes send them, as a sum: a flood from callers that heed what one advises and from such
+//! that heed nothing, and two dozen cold backends on one ledger. The control is told that all is warm, and shares as large.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use plovershelf_client::{AdviceMeaning, Builder, Terms};
+use plovershelf_standins::backend::{Fleet, Plan};
+use plovershelf_standins::plain::Plain;
+use plovershelf_standins::{cores, ledger, Clock};
+use serde_json::json;
+
+use super::client_overload::taps;
+use super::{Aim, Figures, Ground};
+use crate::load::{self, Asker};
+
+const CALLERS: usize = 24;
+const CORES: f64 = 4.0;
+const CROWD: f64 = 8.0;
+const COLD: f64 = 0.2;
+/// What each of the backends that share the ledger may have there.
+const SHARE: f64 = 1.3;
+const CALL_MS: f64 = 40.0;
+/// The time over which the settings want the crowd, and what lies below, held in the mean.
+const SPAN_MS: f64 = 2000.0;
+const LOOK_MS: u64 = 5;
+/// Demand, as a part of what the cores do once they are warm.
+const DEMAND: f64 = 2.0;
+
+/// Who sends, to how many backends.
+#[derive(Clone, Copy)]
+enum Senders {
+    /// Callers of the library, that share out what they are told.
+    Heed,
+    /// Plain ones, that know of nothing.
+    Untold,
+}
+
+#[derive(Default)]
+struct Came {
+    /// The most on the cores of one backend at once, and in the mean over the span, by what they survive then; at once
+    /// with the chance that a sum has.
+    peak: f64,
+    mean: f64,
+    /// The same of the calls that the ledger holds, by the sum of the shares.
+    ledger_peak: f64,
+    ledger_mean: f64,
+    runs: u64,
+    rules_broken: u64,
+}
+
+fn with_chance(budget: f64) -> f64 {
+    budget + 2.0 * budget.sqrt() + 2.0
+}
+
+fn mean_over(looks: &[f64]) -> f64 {
+    let span = (SPAN_MS / LOOK_MS as f64) as usize;
+    let mean = |window: &[f64]| window.iter().sum::<f64>() / window.len() as f64;
+    looks.windows(span.min(looks.len().max(1))).map(mean).fold(0.0, f64::max)
+}
+
+fn play(ground: &Ground, backends: usize, senders: Senders, told: bool) -> Result<Came, String> {
+    let executor = &ground.executor;
+    let clock = Clock::start();
+    let span_ms = ground.seconds.map_or(5000.0, |seconds| seconds * 1000.0);
+    let budget = SHARE * backends as f64;
+    let share = if told { SHARE } else { 50.0 * SHARE };
+    let mut settings = load::settings(CORES, backends, CALLERS, share, CROWD);
+    settings["family_info"]["signal"] = "window".into();
+    if told {
+        settings["rules"]["cold_from"] = json!(COLD);
+        settings["rules"]["warm_within_ms"] = json!(span_ms);
+    }
+    let plan = Plan {
+        program: ground.program.clone(),
+        backends,
+        cores: cores::Shape { cores: CORES, crowd: CROWD, cold_speed: COLD, warm_ms: span_ms },
+        ledger: ledger::Shape {
+            call_ms: CALL_MS,
+            slots: budget as usize + 1,
+            survives: usize::MAX,
+            down_ms: 1.0,
+        },
+        settings,
+        memory_mb: 64.0,
+        sockets: 512,
+        stop_ms: 1500.0,
+        logs: ground.logs.clone(),
+        pools: None,
+        group: None,
+    };
+    let rate = DEMAND * backends as f64 * CORES * 1000.0 / load::mean_work_ms();
+    let planned = Rc::new(load::schedule(ground.seed, CALLERS, span_ms, |_| rate));
+    let mut fleet =
+        Fleet::start(executor, clock, &plan).map_err(|error| format!("starting backends: {error}"))?;
+    let run = async {
+        let (taps, members) = taps(executor, clock, &fleet).await?;
+        let mut askers = Vec::new();
+        for number in 0..CALLERS {
+            let Senders::Heed = senders else {
+                askers.push(Asker::Plain(Plain::new(executor, &members, number as u32)));
+                continue;
+            };
+            let seed = ground.seed * 1000 + number as u64 + 1;
+            let advice = AdviceMeaning::OutstandingPerCaller;
+            let terms = Terms { seed, advice, place: Some(number as u64), ..Terms::default() };
+            let (client, drive) =
+                Builder::new().members(&members).number(number as u32).terms(terms).build()?;
+            executor.spawn(drive).detach();
+            askers.push(Asker::Library(client));
+        }
+        let results = load::Results::default();
+        let mut came = Came::default();
+        let mut crowds = vec![Vec::new(); backends];
+        let mut held = Vec::new();
+        let look = async {
+            loop {
+                for (backend, looks) in fleet.backends.iter().zip(&mut crowds) {
+                    let (runs, survives) = backend.agent.on_cores();
+                    looks.push(runs as f64 / survives);
+                    came.peak = came.peak.max(runs as f64 / with_chance(survives));
+                }
+                held.push(fleet.ledger.held() as f64 / budget);
+                Timer::after(Duration::from_millis(LOOK_MS)).await;
+            }
+        };
+        let play = load::play(executor, clock, &planned, &askers, &results, 1500.0);
+        futures_lite::future::or(play, look).await;
+        came.mean = crowds.iter().map(|looks| mean_over(looks)).fold(0.0, f64::max);
+        came.ledger_mean = mean_over(&held);
+        let account = fleet.account.borrow();
+        came.ledger_peak = account.ledger_most as f64 / with_chance(budget);
+        came.runs = account.runs();
+        came.rules_broken = account.ran_twice().len() as u64 + account.launched_late;
+        drop(account);
+        came.rules_broken += fleet.backends.iter_mut().filter_map(|backend| backend.ended()).count() as u64;
+        for tap in &taps {
+            let seen = tap.seen.borrow();
+            came.rules_broken += seen.answered_twice + seen.answered_late;
+        }
+        Ok(came)
+    };
+    async_io::block_on(executor.run(run))
+}
+
+pub fn run(ground: &Ground) -> Result<Figures, String> {
+    let mut figures = Figures::default();
+    let mut broken = 0;
+    for (name, senders) in [("heed", Senders::Heed), ("untold", Senders::Untold)] {
+        let came = play(ground, 1, senders, true)?;
+        let control = play(ground, 1, senders, false)?;
+        let mut one = Figures::default();
+        one.told("runs", came.runs as f64);
+        one.put("crowd_mean", came.mean, Aim::AtMost(1.0));
+        one.put("crowd_peak", came.peak, Aim::AtMost(1.0));
+        one.told("control_crowd_mean", control.mean);
+        one.told("control_crowd_peak", control.peak);
+        broken += came.rules_broken;
+        figures.phase(name, one);
+    }
+    let came = play(ground, CALLERS, Senders::Untold, true)?;
+    let control = play(ground, CALLERS, Senders::Untold, false)?;
+    let mut shared = Figures::default();
+    shared.told("runs", came.runs as f64);
+    shared.put("ledger_mean", came.ledger_mean, Aim::AtMost(1.0));
+    shared.put("ledger_peak", came.ledger_peak, Aim::AtMost(1.0));
+    shared.put("crowd_mean", came.mean, Aim::AtMost(1.0));
+    shared.put("control_ledger_peak", control.ledger_peak, Aim::AtLeast(1.0));
+    broken += came.rules_broken;
+    figures.phase("shared", shared);
+    figures.put("rules_broken", broken as f64, Aim::AtMost(0.0));
+    Ok(figures)
+}
--- a/crates/plovershelf-standins/src/agent.rs
+++ b/crates/plovershelf-standins/src/agent.rs
@@ -297,6 +297,13 @@
         state.cores.pace = pace;
     }
 
+    /// Runs that are on the cores now, and how many those survive.
+    pub fn on_cores(&self) -> (usize, f64) {
+        let mut state = self.state.borrow_mut();
+        state.advance();
+        (state.cores.running() - state.reading.len(), state.cores.survives(state.clock.now()))
+    }
+
     /// Is this run one that waits for a call?
     pub fn waits_for_call(&self, id: &TryId) -> bool {
         self.state.borrow().runs.get(id).is_some_and(|run| run.at_call)
--- a/crates/plovershelf-standins/src/cores.rs
+++ b/crates/plovershelf-standins/src/cores.rs
@@ -28,15 +28,25 @@
         Cores { shape, started: now, now, pace: 1.0, left: BTreeMap::new(), busy_ms: 0.0 }
     }
 
+    fn speed(&self, now: f64) -> f64 {
+        let Shape { cold_speed, warm_ms, .. } = self.shape;
+        let warm = ((now - self.started) / warm_ms.max(1.0)).clamp(0.0, 1.0);
+        cold_speed + (1.0 - cold_speed) * warm
+    }
+
+    /// How much running work they survive now, by what settings say of it.
+    pub fn survives(&self, now: f64) -> f64 {
+        self.shape.cores * (1.0 + (self.shape.crowd - 1.0) * self.speed(now))
+    }
+
     /// How fast each piece of work goes on, in milliseconds of work a millisecond.
     fn rate(&self, now: f64) -> f64 {
         let count = self.left.len() as f64;
         if count == 0.0 {
             return 0.0;
         }
-        let Shape { cores, crowd, cold_speed, warm_ms } = self.shape;
-        let warm = ((now - self.started) / warm_ms.max(1.0)).clamp(0.0, 1.0);
-        let speed = cold_speed + (1.0 - cold_speed) * warm;
+        let Shape { cores, crowd, .. } = self.shape;
+        let speed = self.speed(now);
         let share = (cores / count).min(1.0);
         self.pace * speed * share * (crowd * cores / count).min(1.0)
     }
--- a/crates/plovershelf-standins/src/ledger.rs
+++ b/crates/plovershelf-standins/src/ledger.rs
@@ -58,6 +58,11 @@
         Ok(Ledger { address, state })
     }
 
+    /// Calls that it holds now.
+    pub fn held(&self) -> usize {
+        self.state.borrow().held
+    }
+
     /// Calls take so many times as long from now on.
     pub fn slow(&self, times: f64) {
         self.state.borrow_mut().slow = times;
