Runs whose ends the agent forgot are settled, unwritten calls proven, extremes borne

By reading, each with a test: - More than 4,000 notices missed: ends between were never told, so runs stood on the cores for good. When a link comes back over a gap, what may run again is launched anew (nothing where it runs), the rest fails for its caller and is let go. - A call that stands behind one being written, as its connection goes bad, was handed back as lost; its bytes never left, so it is proven not to have run and an exclusive request goes on (ledger/tests.rs, seen as Lost before). - Lines to the ledger had no bound while spent ones had calls out; now four above the usual. - After an early end the wait for the last bytes ended at the kill; it is bounded by twice the linger. - Errors of settings name their keys; a fraction of a core is a start, not an error. - Settings from 0 to 1e15 in thirteen places, three kinds of advice: no panic and no advice that is no number (tests/ramp.rs).

--- a/crates/plovershelf-facts/src/lib.rs
+++ b/crates/plovershelf-facts/src/lib.rs
@@ -56,7 +56,7 @@
 /// The same from settings that stand inside a larger document.
 pub fn read_value(top: &Value, seed: u64) -> Result<Start, String> {
     if !top.is_object() {
-        return Err("settings are not an object".to_string());
+        return Err("\"settings\" are not an object".to_string());
     }
     let own = &top["family_info"];
     let rules = &top["rules"];
@@ -81,12 +81,14 @@
         })
         .collect();
     if offerings.is_empty() {
-        return Err("settings name no classes".to_string());
+        return Err("\"settings\": \"classes\" names none".to_string());
     }
     let cores = number(own, "cores", 0.0);
     let memory_kb = number(own, "memory_kb", 0.0);
-    if cores < 1.0 || memory_kb <= 0.0 {
-        return Err("settings tell no cores or no memory".to_string());
+    for (key, value) in [("cores", cores), ("memory_kb", memory_kb)] {
+        if value <= 0.0 {
+            return Err(format!("\"settings\": \"family_info\": {key:?} is missing or not above 0"));
+        }
     }
     let facts = StartFacts {
         seed,
--- a/crates/plovershelf-server/src/agent.rs
+++ b/crates/plovershelf-server/src/agent.rs
@@ -144,6 +144,7 @@
         let mut inflow = Inflow::new(limits.line_bytes, limits.read_bytes);
         let mut greeting = None;
         let newest = Cell::new(0);
+        let mut missed = false;
         let mut sender = Some(sender);
         loop {
             let took = agent::take(inflow.bytes(), limits.body_bytes).map_err(|bad| broken(bad.0))?;
@@ -154,6 +155,8 @@
                 continue;
             };
             let before = *last_read;
+            // Nothing is told out of order, so what lies between is lost, but for what a link in service skips.
+            missed |= !up.get() && skips(&notice, before);
             let numbered = |number| {
                 newest.set(number);
                 fresh_notice(number, before)
@@ -177,7 +180,7 @@
                     match (tag, greeting, sender.take()) {
                         (Some(FENCE), Some((fresh, up_for_ms)), Some(orders)) => {
                             up.set(true);
-                            Some(Said::Up { fresh, up_for_ms, orders })
+                            Some(Said::Up { fresh, up_for_ms, orders, missed })
                         }
                         (Some(FENCE), ..) if orders.is_closed() => return Ok(()),
                         (Some(tag), _, again) => {
@@ -217,5 +220,15 @@
     number > last_read
 }
 
+/// Notices before this one were never told.
+fn skips(notice: &Notice<'_>, last_read: u64) -> bool {
+    match notice {
+        Notice::Outcome { number, .. } | Notice::Request { number, .. } | Notice::Aside { number } => {
+            *number > last_read.saturating_add(1)
+        }
+        _ => false,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/plovershelf-server/src/agent/tests.rs
+++ b/crates/plovershelf-server/src/agent/tests.rs
@@ -7,6 +7,13 @@
     assert_eq!([5, 4, 5, 7].map(|number| fresh_notice(number, 4)), [true, false, true, true]);
 }
 
+#[test]
+fn a_gap_before_a_notice_is_told_from_one_that_follows() {
+    let aside = |number| Notice::Aside { number };
+    assert_eq!([1, 5, 6, 7].map(|number| skips(&aside(number), 5)), [false, false, false, true]);
+    assert!(!skips(&Notice::Greeting { fresh: true, up_for_ms: 0.0 }, 5));
+}
+
 /// The queue to the owner is full while a run's end waits for a place in it, and the link is left for another: the end has
 /// to be told again there, or its caller never hears of it.
 #[test]
--- a/crates/plovershelf-server/src/ledger.rs
+++ b/crates/plovershelf-server/src/ledger.rs
@@ -20,12 +20,18 @@
 use crate::messages::{CallOver, Event, Order};
 use crate::streams::{gather, within, write_all, Inflow};
 
+struct Out {
+    number: u64,
+    since: Instant,
+    written: bool,
+}
+
 /// What is shared with the task of one connection.
 #[derive(Default)]
 struct Carried {
-    /// Calls that are out and since when, and all that the connection has carried: a second copy of an answer
+    /// Calls that are out, since when, and whether their bytes may have gone; and all that the connection has carried: a second copy of an answer
     /// must not be taken for that to a later call of the same run.
-    out: BTreeMap<TryId, (u64, Instant)>,
+    out: BTreeMap<TryId, Out>,
     ever: BTreeSet<TryId>,
     /// It takes no further calls.
     retired: bool,
@@ -111,6 +117,12 @@
                 let full = lines.len() >= limits.ledger_connections;
                 let line = match best {
                     Some((beside, line)) if beside == 0 || full => line,
+                    // Those that take no more are as many as there may be, until their last calls are over.
+                    None if lines.len() >= limits.ledger_connections + limits.ledger_spare => {
+                        let over = CallOver::without(number, CallEnd::ProvenNotRun);
+                        let _ = inbox.send(Event::CallOver { id, over }).await;
+                        continue;
+                    }
                     _ => {
                         let carried = Rc::new(RefCell::new(Carried::default()));
                         let (sender, taken) = async_channel::unbounded();
@@ -121,7 +133,7 @@
                     }
                 };
                 let mut carried = line.carried.borrow_mut();
-                carried.out.insert(id, (number, Instant::now()));
+                carried.out.insert(id, Out { number, since: Instant::now(), written: false });
                 carried.ever.insert(id);
                 let _ = line.lines.try_send(ledger::call(&id, within_ms, &body));
             }
@@ -161,7 +173,8 @@
         let _ =
             inbox.send(Event::Odd(format!("a ledger's connection with {} calls: {error}", out.len()))).await;
     }
-    for (id, (number, _)) in out {
+    for (id, Out { number, written, .. }) in out {
+        let end = if written { end } else { CallEnd::ProvenNotRun };
         let _ = inbox.send(Event::CallOver { id, over: CallOver::without(number, end) }).await;
     }
 }
@@ -181,6 +194,8 @@
     };
     let write = async {
         while let Some(bytes) = gather(lines).await {
+            // All that stood in the queue goes now; what has not been taken from it has surely never run.
+            carried.borrow_mut().out.values_mut().for_each(|out| out.written = true);
             write_all(stream, &bytes, limits.stall_ms).await?;
             if over() {
                 return Ok(());
@@ -196,7 +211,7 @@
         loop {
             Timer::after(Duration::from_millis(limits.watch_ms.min(pace.silent_ms() / 4))).await;
             let carried = carried.borrow();
-            let longest = carried.out.values().map(|(_, since)| ms_since(*since)).max();
+            let longest = carried.out.values().map(|out| ms_since(out.since)).max();
             if let Some(out_ms) = longest.filter(|out_ms| *out_ms >= pace.silent_ms()) {
                 pace.learn(out_ms);
                 return Err(io::Error::other("it is silent"));
@@ -235,7 +250,7 @@
                 carried.answered = Some(Instant::now());
                 carried.out.remove(&id)
             };
-            if let Some((number, since)) = counts {
+            if let Some(Out { number, since, .. }) = counts {
                 pace.learn(ms_since(since));
                 let over = CallOver { number, end, wanted, reply };
                 let _ = inbox.send(Event::CallOver { id, over }).await;
@@ -249,94 +264,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::{BufRead, BufReader, Write};
-
-    /// A connection on which one call has been read, and the id of that.
-    fn called(listener: &std::net::TcpListener) -> (BufReader<TcpStream>, String) {
-        let mut reader = BufReader::new(listener.accept().expect("a connection").0);
-        let mut lines = String::new();
-        for _ in 0..2 {
-            reader.read_line(&mut lines).expect("a line");
-        }
-        (reader, lines[3..19].into())
-    }
-
-    /// Answers the call, then waits for the connection's end.
-    fn answer((mut reader, id): (BufReader<TcpStream>, String), answer: &str) {
-        let answer = answer.replace("ID", &id);
-        reader.get_mut().write_all(answer.as_bytes()).expect("it is taken");
-        let mut lines = String::new();
-        while reader.read_line(&mut lines).is_ok_and(|count| count > 0) {}
-    }
-
-    /// Places calls of these ids at once, and hands back how they ended.
-    fn ends_of(ids: &[TryId], listener: &std::net::TcpListener) -> BTreeMap<TryId, CallEnd> {
-        let address = listener.local_addr().expect("an address");
-        let (events, inbox) = async_channel::bounded(64);
-        let (calls, orders) = async_channel::bounded(64);
-        let limits = Rc::new(Limits { ledger_idle_ms: 50, ..Limits::of(64.0, 512) });
-        let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
-        let keep = keep_calls(executor, Rc::new(Cell::new(Some(address))), orders, events, limits);
-        let talk = async {
-            for id in ids {
-                let order = Order::Call { id: *id, number: 1, within_ms: 1000.0, body: b"ask".to_vec() };
-                calls.send(order).await.expect("it is taken");
-            }
-            let mut ends = BTreeMap::new();
-            while ends.len() < ids.len() {
-                if let Ok(Event::CallOver { id, over }) = inbox.recv().await {
-                    ends.insert(id, over.end);
-                }
-            }
-            Timer::after(Duration::from_millis(200)).await;
-            calls.close();
-            ends
-        };
-        async_io::block_on(executor.run(future::zip(keep, talk))).1
-    }
-
-    #[test]
-    fn a_spoilt_answer_costs_its_own_call_only() {
-        let spoilt = [
-            "\0\x7f\r\n".to_string(),
-            "x".repeat(5000),
-            "ID DONE 3000000000\r\nand on and on".into(),
-            "ID DONE -1\r\n".into(),
-            "ID DONE 9\r\nshort".into(),
-            String::new(),
-        ];
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let ids: Vec<TryId> = (0..8).map(|n| format!("{n:016}").into_bytes().try_into().unwrap()).collect();
-        let far = listener.try_clone().expect("the same");
-        let far = std::thread::spawn(move || {
-            let lines: Vec<_> = (0..8).map(|_| called(&far)).collect();
-            std::thread::scope(|scope| {
-                for (place, line) in lines.into_iter().enumerate() {
-                    let well = "00000000000000ff PAST\r\nID DONE 1\r\nx\r\nID WAIT\r\n".to_string();
-                    let said = spoilt.get(place).cloned().unwrap_or(well);
-                    scope.spawn(move || answer(line, &said));
-                }
-            });
-        });
-        let ends = ends_of(&ids, &listener);
-        let well = ends.iter().filter(|(_, end)| **end == CallEnd::Ok).count();
-        assert_eq!((well, ends.values().filter(|end| **end == CallEnd::Lost).count()), (2, 6));
-        far.join().expect("all were let go");
-    }
-
-    #[test]
-    fn a_connection_is_let_go_when_idle_and_opened_for_the_next_call() {
-        let id = *b"9b1f03aa5c7e2d41";
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let far = listener.try_clone().expect("the same");
-        let far = std::thread::spawn(move || {
-            answer(called(&far), "ID PAST\r\n");
-            answer(called(&far), "ID EMPTY\r\n");
-        });
-        let ends = [0, 1].map(|_| ends_of(&[id], &listener)[&id]);
-        assert_eq!(ends, [CallEnd::GivenUp, CallEnd::ProvenNotRun]);
-        far.join().expect("both connections were let go");
-    }
-}
+mod tests;
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -68,6 +68,8 @@
     pub connect_ms: u64,
     /// Connections to the ledger, and calls that one carries in its life.
     pub ledger_connections: usize,
+    /// Further ones while others take no more calls but have some out.
+    pub ledger_spare: usize,
     pub calls_a_connection: usize,
     /// The ledger may close or forget what is idle; this side lets go earlier, so that no call crosses that.
     pub ledger_idle_ms: u64,
@@ -149,6 +151,7 @@
             retry_most_ms: 500,
             connect_ms: 1000,
             ledger_connections,
+            ledger_spare: 4,
             calls_a_connection: 200,
             ledger_idle_ms: 400,
             silent_times: 12.0,
--- a/crates/plovershelf-server/src/messages.rs
+++ b/crates/plovershelf-server/src/messages.rs
@@ -54,6 +54,8 @@
         fresh: bool,
         up_for_ms: f64,
         orders: Sender<Vec<u8>>,
+        /// Some notices were never told: runs may be over of which nothing more will be heard.
+        missed: bool,
     },
     /// There is no link; `all_read` where that is known of its commands.
     Down {
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -266,7 +266,8 @@
         }
         let exit = self.due.iter().find(|(_, due, _)| *due == Due::Exit);
         let left_ms = exit.map_or(0.0, |(at, ..)| f64::from_bits(*at) - unix_ms());
-        Duration::from_secs_f64(left_ms.max(self.limits.exit_early_ms / 2.0) / 1000.0)
+        let most_ms = self.limits.linger_ms as f64 * 2.0;
+        Duration::from_secs_f64(left_ms.clamp(self.limits.exit_early_ms / 2.0, most_ms) / 1000.0)
     }
 
     /// Until the next due time, or a while where there is none near.
--- a/crates/plovershelf-server/src/owner/below.rs
+++ b/crates/plovershelf-server/src/owner/below.rs
@@ -12,7 +12,12 @@
 impl Owner {
     pub(super) fn hear(&mut self, said: Said) {
         match said {
-            Said::Up { fresh, up_for_ms, orders } => self.agent_up(fresh, up_for_ms, orders),
+            Said::Up { fresh, up_for_ms, orders, missed } => {
+                self.agent_up(fresh, up_for_ms, orders);
+                if missed {
+                    self.settle_missed();
+                }
+            }
             Said::Down { all_read } => {
                 self.agent = None;
                 self.commands_read = if all_read { self.commands } else { self.commands_read };
@@ -119,6 +124,22 @@
         unanswered.into_iter().for_each(|id| self.decide(|backend, now| backend.wants_call(now, id)));
     }
 
+    /// The agent keeps so many notices and no more: what ended before those is never told of. What may run again is launched
+    /// anew, which does nothing where it still runs; for the rest nothing more is waited for.
+    fn settle_missed(&mut self) {
+        let launched: Vec<u32> =
+            self.open.iter().filter(|(_, open)| open.launched.is_some()).map(|(id, _)| *id).collect();
+        self.complain(&format!("the agent forgot notices: {} runs are in doubt", launched.len()));
+        for id in launched {
+            let Some(open) = self.open.get(&id) else { continue };
+            match self.start.facts.offerings[open.offering].repeats {
+                Repeats::Rerunnable if !open.answered => self.launch(id),
+                // Answered, or failed for its caller: it may have run, and is never run again.
+                _ => self.ended.push_back((id, RunEnd::Error)),
+            }
+        }
+    }
+
     /// Replies to calls that were placed anew go to runs of which nothing was heard up to a sample behind them:
     /// so they wait for this reply and for no later one.
     fn deliver_proven(&mut self) {
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -35,9 +35,14 @@
     }
 
     fn link_up(&mut self) {
+        self.link_up_after(false);
+    }
+
+    fn link_up_after(&mut self, missed: bool) {
         let (orders, commands) = async_channel::bounded(1000);
         self.commands = commands;
-        self.owner.take(Event::Agent(Said::Up { fresh: false, up_for_ms: 0.0, orders }));
+        self.owner.take(Event::Agent(Said::Up { fresh: false, up_for_ms: 0.0, orders, missed }));
+        self.owner.settle();
     }
 
     fn connect(&mut self) -> u64 {
@@ -720,3 +725,26 @@
     stage.owner.take(Event::Crowded { why: "none left".into(), open });
     assert!(stage.owner.connections.contains_key(&peer));
 }
+
+/// More notices were missed than the agent keeps: without this, runs that ended meanwhile would stand on the cores for good,
+/// and their callers would wait until their time is over.
+#[test]
+fn runs_whose_ends_the_agent_forgot_are_launched_anew_or_given_up() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    stage.send(peer, dispatch(2, 2, "single", &[], b""));
+    stage.send(peer, dispatch(3, 3, "marked", &[("k", "t")], b""));
+    stage.send(peer, dispatch(4, 4, "plain", &[], b""));
+    stage.send(peer, cancel(4));
+    stage.agent(Said::Sampled { tag: 100, gauges: vec![] });
+    stage.commands();
+    stage.agent(Said::Down { all_read: true });
+    stage.link_up_after(true);
+    assert_eq!(stage.commands(), ["launch 0000000000000001 plain 0"]);
+    assert_eq!(stage.heard(peer), [Heard::Scrapped(2), Heard::Scrapped(3)]);
+    assert_eq!(stage.owner.open.len(), 1);
+    // The one that failed is not run for its repeat.
+    stage.send(peer, dispatch(5, 5, "marked", &[("k", "t")], b""));
+    assert_eq!((stage.heard(peer), stage.commands().len()), (vec![Heard::Scrapped(5)], 0));
+}
--- a/crates/plovershelf-server/tests/crossings.rs
+++ b/crates/plovershelf-server/tests/crossings.rs
@@ -163,3 +163,85 @@
     assert!(heard.contains(&Heard::Closing) && heard.contains(&Heard::Succeeded(1, b"x".to_vec())));
     assert_eq!(backend.end().status.code(), Some(0));
 }
+
+/// Each byte may be the last of a packet.
+#[test]
+fn a_request_that_is_split_at_any_byte_is_read_whole() {
+    let (backend, mut agent) = Backend::usual();
+    let mut sidecar = backend.sidecar();
+    sidecar.0.set_nodelay(true).expect("it takes that");
+    let body: Vec<u8> = (0..=255).collect();
+    let whole = |id: u64| {
+        let frame = dispatch(id as i32, id, "better", &[("o", "7f3a9c21e0b4d655")], &body);
+        [&(frame.len() as u32).to_be_bytes()[..], &frame].concat()
+    };
+    let length = whole(1).len();
+    for at in 1..length {
+        let (id, bytes) = (at as u64, whole(at as u64));
+        sidecar.0.write_all(&bytes[..at]).expect("a connection that takes bytes");
+        // The reader has what there is before the rest comes.
+        std::thread::yield_now();
+        sidecar.0.write_all(&bytes[at..]).expect("a connection that takes bytes");
+        let (line, launched) = agent.expect("launch");
+        assert_eq!((line, &launched), (format!("launch {id:016x} better 256"), &body));
+        agent.say(&format!("outcome {at} {id:016x} success 1"), Some(b"x"));
+        assert_eq!(sidecar.hear(), Some(Heard::Succeeded(at as i32, b"x".to_vec())));
+    }
+}
+
+/// The notice comes before the agent has greeted, or is there at all.
+#[test]
+fn the_notice_to_leave_is_carried_out_without_an_agent() {
+    for accepts in [true, false] {
+        let mut backend = Backend::start(SMALL);
+        let mut sidecar = backend.sidecar();
+        let link = accepts.then(|| Lines::accept(&backend.agent));
+        if !accepts {
+            // Nobody listens there any more.
+            backend.agent = common::local();
+        }
+        sidecar.send(&alive(1));
+        assert_eq!(sidecar.hear(), Some(Heard::Fit(1, true)));
+        backend.signal("TERM");
+        assert_eq!(sidecar.hear(), Some(Heard::Closing));
+        assert_eq!(sidecar.0.read(&mut [0]).expect("an end in order"), 0);
+        assert_eq!(backend.end().status.code(), Some(0));
+        drop(link);
+    }
+}
+
+/// The agent takes no commands, peers take no answers, and others flood: the queue to the owner is full, and the owner
+/// waits for none of them.
+#[test]
+fn a_stalled_agent_and_peers_that_read_nothing_hold_up_no_health_check() {
+    let (backend, agent) = Backend::up(r#"{"cores": 1.0, "memory_mb": 64, "sockets": 256}"#);
+    let body = vec![7; 2048];
+    let address = backend.address.clone();
+    let floods: Vec<_> = (0..8u64)
+        .map(|place| {
+            let (address, body) = (address.clone(), body.clone());
+            std::thread::spawn(move || {
+                let mut deaf = Sidecar::to(&address);
+                deaf.0.set_write_timeout(Some(std::time::Duration::from_millis(500))).expect("a timeout");
+                for n in 0..3000 {
+                    let frame = dispatch(n as i32 + 1, place * 10_000 + n + 1, "plain", &[], &body);
+                    let whole = [&(frame.len() as u32).to_be_bytes()[..], &frame].concat();
+                    if deaf.0.write_all(&whole).is_err() {
+                        break;
+                    }
+                }
+                deaf
+            })
+        })
+        .collect();
+    for seqid in 1..=50 {
+        let mut check = Sidecar::to(&address);
+        check.send(&alive(seqid));
+        assert!(matches!(check.hear(), Some(Heard::Fit(of, _)) if of == seqid));
+    }
+    let kept: Vec<Sidecar> = floods.into_iter().map(|flood| flood.join().expect("it ends")).collect();
+    let mut check = Sidecar::to(&address);
+    check.send(&alive(1));
+    assert!(matches!(check.hear(), Some(Heard::Fit(1, _))));
+    drop((kept, agent));
+}
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -305,3 +305,46 @@
         assert!(held <= budget, "{backends} backends with {share} each hold {held} in the mean");
     }
 }
+
+/// Nothing that settings may say makes a decision impossible: no panic, no figure that is none.
+#[test]
+fn settings_at_their_ends_are_borne() {
+    type Change = fn(&mut StartFacts, f64);
+    let changes: [Change; 13] = [
+        |facts, value| facts.cores = value.max(0.001),
+        |facts, value| facts.memory_kb = value.max(0.001),
+        |facts, value| facts.run_factor = value,
+        |facts, value| facts.entry_kb = value,
+        |facts, value| facts.call_share = Some(value),
+        |facts, value| facts.call_linger_ms = value,
+        |facts, value| facts.callers = value.max(1.0),
+        |facts, value| facts.cold_speed = value,
+        |facts, value| facts.warm_within_ms = value,
+        |facts, value| facts.tip_multiple = value,
+        |facts, value| facts.idle_most_ms = value,
+        |facts, value| facts.cool_down_most_ms = value,
+        |facts, value| {
+            facts.offerings.iter_mut().for_each(|terms| {
+                (terms.contract_ms, terms.hard_limit_ms, terms.ticket_window_ms, terms.revenue) =
+                    (value, value, value, value);
+            })
+        },
+    ];
+    for change in changes {
+        for value in [0.0, 1e-9, 0.5, 1.0, 1e9, 1e15] {
+            for advice in
+                [AdviceMeaning::LowestRank, AdviceMeaning::OutstandingPerCaller, AdviceMeaning::ShareOfUsual]
+            {
+                let mut facts = facts(3, 5, advice, Some(2.0));
+                facts.offerings[1].repeats = Repeats::Ticketed;
+                change(&mut facts, value);
+                let mut world = World::new(facts, 20.0, 0.2);
+                for ms in 0..600 {
+                    world.arrives(f64::from(ms), (ms % 2) as usize);
+                    world.pass(f64::from(ms));
+                    assert!(world.advice.is_none_or(|value| value.is_finite() && value >= 0.0));
+                }
+            }
+        }
+    }
+}
