A frame on a connection that its writer has given up is not sent on

Cause: the owner asked only whether it had deafened the connection; between the writer's giving up a peer that takes nothing and the reader's word of it, a frame in the queue was still run, though nothing could answer it. Now the shared phase is asked. Test: a_frame_on_a_connection_that_was_given_up_runs_nothing, fails without.

--- a/crates/plovershelf-server/src/messages.rs
+++ b/crates/plovershelf-server/src/messages.rs
@@ -9,7 +9,7 @@
 use plovershelf_codec::agent::RunOver;
 use plovershelf_codec::TryId;
 
-use crate::connection::{Phase, Shared, Step};
+use crate::connection::{Shared, Step};
 use crate::limits::Limits;
 
 /// All that can happen to the owner from outside.
@@ -156,8 +156,9 @@
         self.shared.step(Step::Deafen);
     }
 
+    /// What comes could not be answered any more, or is not to be.
     pub fn is_deaf(&self) -> bool {
-        self.shared.phase() == Phase::Deaf
+        !self.shared.phase().takes()
     }
 
     pub fn tell_closing(&self) {
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -748,3 +748,13 @@
     stage.send(peer, dispatch(5, 5, "marked", &[("k", "t")], b""));
     assert_eq!((stage.heard(peer), stage.commands().len()), (vec![Heard::Scrapped(5)], 0));
 }
+
+/// The writer has given its peer up, which the owner has not heard yet: a frame before that word is not sent on.
+#[test]
+fn a_frame_on_a_connection_that_was_given_up_runs_nothing() {
+    let mut stage = Stage::new();
+    let peer = stage.connect();
+    stage.shared[peer as usize].step(crate::connection::Step::Abort);
+    stage.send(peer, dispatch(1, 1, "plain", &[], b""));
+    assert_eq!((stage.commands(), stage.owner.open.len()), (vec![], 0));
+}
