--- /dev/null
+++ b/crates/plovershelf-model/src/audit/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+fn at(at: f64, seen: Seen) -> Event {
+    Event { at, seen }
+}
+
+/// One history for each promise, broken once, and nothing else.
+#[test]
+fn each_broken_promise_is_found_by_its_name_and_first_event() {
+    let view = |at_ms: f64, number: u64, members: &[u64]| {
+        at(at_ms, Seen::View { memory: 1, era: 1, number, members: members.to_vec() })
+    };
+    let well = vec![
+        view(1.0, 1, &[1, 2, 3]),
+        at(2.0, Seen::Leads { memory: 1, era: 1, term: 2 }),
+        at(3.0, Seen::Acts { memory: 2, era: 1, view: 1 }),
+        view(4.0, 2, &[1, 3]),
+        at(5.0, Seen::Decided { memory: 1, era: 1, index: 7, hash: 9 }),
+        at(5.5, Seen::Lost { memory: 2 }),
+        at(5.6, Seen::Answered { ticket: 8, result: None }),
+        at(5.7, Seen::Launched { ticket: 7, process: "n1".into() }),
+        at(5.8, Seen::Answered { ticket: 7, result: Some(5) }),
+        at(5.9, Seen::Answered { ticket: 7, result: Some(5) }),
+    ];
+    assert!(judge(&well).broken.is_empty());
+    let wrong = [
+        (view(6.0, 2, &[1, 2]), ONE_VIEW_A_NUMBER),
+        (view(6.0, 4, &[1]), NO_GAP),
+        (at(6.0, Seen::Leads { memory: 3, era: 1, term: 2 }), ONE_LEADER_A_TERM),
+        (at(6.0, Seen::Decided { memory: 3, era: 1, index: 7, hash: 8 }), NOTHING_FORGOTTEN),
+        (at(6.0, Seen::Leads { memory: 2, era: 1, term: 9 }), BLANK_IS_NEW),
+        (at(6.0, Seen::Launched { ticket: 7, process: "n2".into() }), NO_EFFECT_TWICE),
+        (at(6.0, Seen::Answered { ticket: 7, result: None }), ONE_VERDICT),
+        (at(6.0, Seen::Answered { ticket: 7, result: Some(6) }), ONE_VERDICT),
+    ];
+    for (event, promise) in wrong {
+        let mut events = well.clone();
+        events.push(event);
+        let text = written(&events);
+        let audit = judge(&read(&text).expect("what was written"));
+        let found: Vec<&str> = audit.broken.iter().map(|broken| broken.promise).collect();
+        assert_eq!(found, [promise]);
+    }
+    let mut late = well;
+    late.insert(4, at(4.5, Seen::Acts { memory: 2, era: 1, view: 1 }));
+    let audit = judge(&late);
+    assert_eq!((audit.broken[0].promise, audit.broken[0].event), (NOT_PAST_LEASE, 4));
+}
--- a/crates/plovershelf-model/src/plot.rs
+++ b/crates/plovershelf-model/src/plot.rs
@@ -52,14 +52,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_plot_has_its_lines_and_words_and_nothing_draws_no_plot() {
-        let line = Line { name: "median".into(), points: vec![(9.0, 1.0), (900.0, 2.0)] };
-        let text = lines("until all know", "members", "seconds", &[line]).expect("a plot");
-        assert!(text.starts_with("<svg") && text.contains("median") && text.contains("until all know"));
-        assert!(lines("t", "x", "y", &[]).is_err());
-    }
-}
+mod tests;
