A test for the bound on lines to the ledger; the notice's event without an option

The bound was named in docs/crossings.md as without a test of its own; without it the third call opens a third line and is never handed back. The owner's waiting says Notice(time), as there is no other case.

--- a/crates/plovershelf-server/src/ledger/tests.rs
+++ b/crates/plovershelf-server/src/ledger/tests.rs
@@ -157,3 +157,39 @@
     let (_, end) = async_io::block_on(executor.run(future::zip(keep, talk)));
     assert_eq!(end, (3, CallEnd::ProvenNotRun));
 }
+
+/// Lines that take no more calls stay until their last is over: they are bounded, and what finds no place never ran.
+#[test]
+fn a_call_that_finds_no_line_is_handed_back_as_never_run() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (events, inbox) = async_channel::bounded(4);
+    let (calls, orders) = async_channel::bounded(4);
+    let limits =
+        Limits { ledger_connections: 1, ledger_spare: 1, calls_a_connection: 1, ..Limits::of(64.0, 512) };
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
+    let keep = keep_calls(executor, Rc::new(Cell::new(Some(address))), orders, events, Rc::new(limits));
+    let talk = async {
+        for number in 1..=3 {
+            let id = format!("{number:016}").into_bytes().try_into().expect("16 digits");
+            calls
+                .send(Order::Call { id, number, within_ms: 1000.0, body: Vec::new() })
+                .await
+                .expect("it is taken");
+        }
+        let Ok(Event::CallOver { over, .. }) = inbox.recv().await else { panic!("an end") };
+        calls.close();
+        (over.number, over.end)
+    };
+    // The first two are out, on a line each, and nobody answers.
+    assert_eq!(
+        async_io::block_on(executor.run(future::or(
+            async {
+                keep.await;
+                future::pending().await
+            },
+            talk
+        ))),
+        (3, CallEnd::ProvenNotRun)
+    );
+}
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -286,12 +286,12 @@
         let (inbox, notice, timer) = (&self.inbox, &self.notice, &mut self.timer);
         enum Come {
             Event(Option<Event>),
-            Notice(Option<f64>),
+            Notice(f64),
             Time,
         }
         let told = async {
             match notice.recv().await {
-                Ok(at) => Come::Notice(Some(at)),
+                Ok(at) => Come::Notice(at),
                 Err(_) => future::pending().await,
             }
         };
@@ -304,7 +304,7 @@
             Come::Event(event) => event,
             Come::Notice(told_at) => {
                 self.tick();
-                told_at.into_iter().for_each(|at| self.leave(at));
+                self.leave(told_at);
                 None
             }
             Come::Time => {
