--- a/crates/plovershelf-server/src/agent/tests.rs
+++ b/crates/plovershelf-server/src/agent/tests.rs
@@ -59,3 +59,33 @@
     async_io::block_on(future::or(keep, play));
     assert_eq!(far.join().expect("the second link"), "subscribe 0");
 }
+
+/// A second greeting would have the fence written into whatever command is on its way.
+#[test]
+fn a_link_that_greets_twice_is_left_for_a_new_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = Rc::new(Cell::new(listener.local_addr().expect("an address")));
+    let (_moves, moved) = async_channel::bounded(1);
+    let (events, inbox) = async_channel::bounded(16);
+    let far = std::thread::spawn(move || {
+        let mut link = Lines::accept(&listener);
+        link.expect("subscribe 0");
+        link.say("greeting steady 0", None);
+        link.sampled();
+        link.say("greeting steady 5", None);
+        assert_eq!(link.next_line(), None);
+        Lines::accept(&listener).next_line().expect("a line").0
+    });
+    let keep = keep_link(address, moved, events, Rc::new(Limits::of(64.0, 64)));
+    let drain = async {
+        while inbox.recv().await.is_ok() {}
+        future::pending::<()>().await
+    };
+    let joined = async {
+        while !far.is_finished() {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    };
+    async_io::block_on(future::or(joined, future::or(keep, drain)));
+    assert_eq!(far.join().expect("the second link"), "subscribe 0");
+}
--- a/crates/plovershelf-server/src/sidecars/tests.rs
+++ b/crates/plovershelf-server/src/sidecars/tests.rs
@@ -117,3 +117,28 @@
     let (_listener, callers) = queued(&[&b"x"[..]; 300]);
     assert_eq!(callers.len(), 300);
 }
+
+/// A caller sends and is gone at once: the word of its end comes behind all that it sent.
+#[test]
+fn the_end_of_a_connection_overtakes_none_of_its_frames() {
+    let (listener, callers) = queued(&[&b"\0\0\0\x03one".repeat(40)]);
+    drop(callers);
+    let (_listening, stop) = async_channel::bounded(1);
+    let (events, inbox) = async_channel::bounded(1);
+    let (slots, executor) = (Rc::new(()), leaked());
+    let limits = Rc::new(Limits::of(64.0, 512));
+    let play = async {
+        executor.spawn(accept(executor, listener, stop, slots.clone(), events, limits)).detach();
+        let Ok(Event::Opened { outbox, .. }) = inbox.recv().await else { panic!("a connection first") };
+        let mut frames = 0;
+        loop {
+            match inbox.recv().await.expect("a word") {
+                Event::Frame { .. } => frames += 1,
+                Event::Ended { garbled, .. } => break assert_eq!((frames, garbled), (40, None)),
+                _ => panic!("nothing else is said"),
+            }
+        }
+        outbox.abort();
+    };
+    async_io::block_on(executor.run(play));
+}
