--- a/src/logic.rs
+++ b/src/logic.rs
@@ -75,7 +75,7 @@
 /// Weight of a period's reading in smoothed gauges; the least share that is advised.
 const SMOOTH: f64 = 0.15;
 const SHARE_LEAST: f64 = 0.1;
-/// Advice is told anew when it moves by this part, of one at the most.
+/// Advice is told anew when it moves by this much; a window under one, by this part of it.
 const ADVICE_STEP: f64 = 0.02;
 /// How far the advised rank reaches into a bucket, for the part cut of it: not all callers heed.
 const ADVICE_PART: f64 = 1.5;
@@ -832,7 +832,10 @@
             // A cold one takes no more of the usual than it has of its speed.
             AdviceMeaning::ShareOfUsual => self.ease.min(self.warmth()).max(SHARE_LEAST),
         };
-        if (level - self.advised).abs() > ADVICE_STEP * self.advised.clamp(ADVICE_STEP, 1.0) {
+        // Under one, a part of a try each, the step shrinks with it: many callers have little each.
+        let window = self.facts.advice == AdviceMeaning::OutstandingPerCaller;
+        let scale = if window { self.advised.clamp(ADVICE_STEP, 1.0) } else { 1.0 };
+        if (level - self.advised).abs() > ADVICE_STEP * scale {
             self.advised = level;
             self.out.words.advice = Some(level);
         }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -688,3 +688,26 @@
         assert_eq!(counted, backend.hand.pooled, "step {step}");
     }
 }
+
+/// The finer step is for windows that are parts of a try; what callers take for a rank or a share is told as seldom as ever.
+#[test]
+fn only_windows_under_one_are_told_anew_in_finer_steps() {
+    let told_after = |advice, advised: f64, ease: f64| {
+        let mut backend = started(StartFacts { advice, callers: 500.0, just_started: true, ..facts() });
+        (backend.advised, backend.ease, backend.now) = (advised, ease, 8000.0);
+        backend.out = Outcome::default();
+        backend.advise();
+        backend.out.words.advice
+    };
+    assert_eq!(told_after(AdviceMeaning::ShareOfUsual, 0.5, 0.485), None);
+    assert_eq!(told_after(AdviceMeaning::ShareOfUsual, 0.5, 0.47), Some(0.47));
+    let mut cold = started(StartFacts {
+        advice: AdviceMeaning::OutstandingPerCaller,
+        callers: 500.0,
+        just_started: true,
+        ..facts()
+    });
+    cold.advised = 0.02;
+    cold.advise();
+    assert!(cold.out.words.advice.is_some_and(|each| each < 0.02));
+}
