--- a/crates/plovershelf-model/src/statistics.rs
+++ b/crates/plovershelf-model/src/statistics.rs
@@ -2,6 +2,7 @@
 
 use hdrhistogram::Histogram;
 use statrs::distribution::{ContinuousCDF, StudentsT};
+use statrs::statistics::Statistics;
 
 /// Values of one figure, three places kept, from a thousandth on.
 pub struct Spread {
@@ -47,6 +48,47 @@
     }
 }
 
+/// A straight line through points by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    pub slope: f64,
+    pub intercept: f64,
+    /// Standard error of the slope.
+    pub slope_error: f64,
+    /// Share of the variance that the line explains; 1 where there is none to explain.
+    pub r_squared: f64,
+    pub points: usize,
+}
+
+impl Fit {
+    /// Errors: none for fewer than three points (two leave no error to tell), one x alone, or a value that is no number.
+    pub fn of(points: &[(f64, f64)]) -> Option<Fit> {
+        let (x, y): (Vec<f64>, Vec<f64>) = points.iter().copied().unzip();
+        let spread = x.as_slice().variance();
+        if points.len() < 3 || x.iter().chain(&y).any(|value| !value.is_finite()) || spread <= 0.0 {
+            return None;
+        }
+        let slope = x.as_slice().covariance(y.as_slice()) / spread;
+        let intercept = y.as_slice().mean() - slope * x.as_slice().mean();
+        let count = points.len() as f64;
+        let unexplained = points.iter().map(|(x, y)| (y - intercept - slope * x).powi(2)).sum::<f64>();
+        let whole = y.as_slice().variance() * (count - 1.0);
+        let r_squared = if whole > 0.0 { 1.0 - unexplained / whole } else { 1.0 };
+        let slope_error = (unexplained / (count - 2.0) / (spread * (count - 1.0))).sqrt();
+        Some(Fit { slope, intercept, slope_error, r_squared, points: points.len() })
+    }
+
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+
+    /// The slope lies so far up and down with 95 in 100 confidence.
+    pub fn slope_bar(&self) -> f64 {
+        let t = StudentsT::new(0.0, 1.0, self.points as f64 - 2.0);
+        t.map_or(f64::INFINITY, |t| t.inverse_cdf(0.975)) * self.slope_error
+    }
+}
+
 /// What a comparison by pairs came to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Compared {
