Slopes counted on the state machines that serve, for the capacity page

Cause: the page of the coming size must rest on slopes that were measured, one command a row. Change: an example of the model's package that counts messages, bytes and resident memory of group, copies, zones, registry and the library's callers at 30 to 920 members, with a least-squares fit.

--- /dev/null
+++ b/crates/plovershelf-model/examples/slopes.rs
@@ -0,0 +1,236 @@
+//! What each kind of state and message grows with, counted on the state machines that serve: the rows of `docs/CAPACITY.md`
+//! that need no processes. Prints a line a row: the points, the slope with its error, and what it makes at the size asked for
+//! (`-- [MEMBERS]`, 920 by default).
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use plovershelf_client::caller::Caller;
+use plovershelf_client::{MemberList, Terms as CallerTerms};
+use plovershelf_copies::copies::{Copies, Message as Copied, Terms as CopiesTerms};
+use plovershelf_copies::placement::Holder;
+use plovershelf_group::council::{Id, Mark, Whole};
+use plovershelf_group::decided::{Decided, Seat, View};
+use plovershelf_group::frames::{encode, plain, Wire};
+use plovershelf_group::group::{Envelope, Heading, Say, Terms as GroupTerms};
+use plovershelf_group::members::{About, Condition, Members, Message as Probe, News, Terms as MembersTerms};
+use plovershelf_model::statistics::Fit;
+use plovershelf_zones::asks::Say as Report;
+use plovershelf_zones::planner;
+use plovershelf_zones::seen::Report as Seen;
+
+const SIZES: [usize; 5] = [30, 100, 300, 600, 920];
+
+fn address(place: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (place >> 8) as u8, place as u8], 7400))
+}
+
+fn about(place: usize) -> About {
+    let (zone, region) = (format!("zone-{}", place % 4), format!("region-{}", place % 2));
+    let name = format!("backend-{place:04}");
+    // Ids as they are drawn: all 64 bits.
+    let id = Id((place as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    About { id, name, zone, region, address: address(place), born: 1_796_000_000_000 }
+}
+
+fn news(place: usize) -> News {
+    let about = about(place);
+    let by = about.id;
+    News { about, stand: 3, fit: true, leaving: false, life: by.0 ^ 0x55, condition: Condition::Alive, by }
+}
+
+fn told(kind: &str, unit: &str, points: &[(f64, f64)], at: f64) {
+    let shown: Vec<String> = points.iter().map(|(x, y)| format!("{x}: {y:.1}")).collect();
+    match Fit::of(points) {
+        Some(fit) => println!(
+            "{kind} | {unit} | {} | slope {:.4} +- {:.4} each, r2 {:.4} | at {at}: {:.0}",
+            shown.join(", "),
+            fit.slope,
+            fit.slope_bar(),
+            fit.r_squared,
+            fit.at(at)
+        ),
+        None => println!("{kind} | {unit} | {} | no fit", shown.join(", ")),
+    }
+}
+
+/// Resident memory of this process in bytes, by the system's own account.
+fn resident() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    Some(text.split(' ').nth(1)?.parse::<f64>().ok()? * 4096.0)
+}
+
+/// Bytes each of many like things takes, as the growth of resident memory over all of them.
+fn bytes_each<T>(count: usize, make: impl Fn(usize) -> T) -> Option<f64> {
+    let before = resident()?;
+    let kept: Vec<T> = (0..count).map(make).collect();
+    let grown = resident()? - before;
+    // Kept on purpose: memory that is given back would be counted for the next.
+    std::mem::forget(kept);
+    Some(grown / count as f64)
+}
+
+/// A change of view among so many that hold nothing: messages and bytes of all until they rest.
+fn view_change(members: usize) -> (f64, f64) {
+    let holders: Vec<Holder> = (0..members)
+        .map(|place| {
+            let about = about(place);
+            Holder { id: about.id, zone: about.zone, machine: about.name, weight: 1.0 }
+        })
+        .collect();
+    let all: Vec<Id> = holders.iter().map(|holder| holder.id).collect();
+    let mut group: Vec<Copies> = all.iter().map(|id| Copies::new(*id, CopiesTerms::default(), 0.0)).collect();
+    let place_of: std::collections::BTreeMap<Id, usize> =
+        all.iter().enumerate().map(|(place, id)| (*id, place)).collect();
+    for copies in &mut group {
+        copies.view_is(1.0, 1, holders.clone());
+    }
+    let (mut messages, mut bytes, mut now) = (0.0, 0.0, 1.0);
+    for _ in 0..8 {
+        now += 1.0;
+        let mut under_way: Vec<(usize, Id, Copied)> = Vec::new();
+        for (place, copies) in group.iter_mut().enumerate() {
+            for (to, message) in copies.take().0 {
+                messages += 1.0;
+                let wire = Wire::Part { from: all[place], to, bytes: plain(&message) };
+                bytes += encode(&wire).len() as f64;
+                under_way.push((place_of[&to], all[place], message));
+            }
+        }
+        if under_way.is_empty() {
+            break;
+        }
+        for (to, from, message) in under_way {
+            group[to].hear(now, from, message);
+        }
+    }
+    (messages, bytes)
+}
+
+fn envelope(say: Say) -> f64 {
+    let (from, to) = (about(1).id, about(2).id);
+    encode(&Wire::Say(Envelope { from, at: address(1), to: Some(to), say })).len() as f64
+}
+
+fn main() {
+    let at = std::env::args().nth(1).and_then(|size| size.parse().ok()).unwrap_or(920.0);
+    let over = |of: &dyn Fn(usize) -> f64| -> Vec<(f64, f64)> {
+        SIZES.iter().map(|size| (*size as f64, of(*size))).collect()
+    };
+
+    println!("kind | unit | points | slope | at the size");
+    // Resident memory first, before anything was given back that could be taken again unseen.
+    let seats = |size: usize| -> View {
+        let seat = |place: usize| {
+            let about = about(place);
+            let seat = Seat {
+                name: about.name,
+                zone: about.zone,
+                region: about.region,
+                address: about.address,
+                leaving: false,
+                life: about.id.0,
+            };
+            (about.id, seat)
+        };
+        View { number: 1600, members: (0..size).map(seat).collect() }
+    };
+    let mut rows = Vec::new();
+    for size in SIZES {
+        let each = bytes_each(100, |own| {
+            let mut members =
+                Members::new(about(own + 2000), MembersTerms::default(), Vec::new(), own as u64 + 1, 0.0);
+            let all = (0..size).map(news).collect();
+            members.hear(1.0, about(0).id, address(0), Probe::Exchange { news: all, answer: false });
+            (members, seats(size))
+        });
+        rows.extend(each.map(|each| (size as f64, each)));
+    }
+    told("a member's table and view", "bytes resident", &rows, at);
+
+    let mut rows = Vec::new();
+    for size in SIZES {
+        let all: Vec<SocketAddr> = (0..size).map(address).collect();
+        let each = bytes_each(1000, |place| {
+            let terms =
+                CallerTerms { seed: place as u64 + 1, place: Some(place as u64), ..CallerTerms::default() };
+            let mut caller = Caller::new(terms).unwrap_or_else(|wrong| panic!("default terms: {wrong}"));
+            caller.list(0.0, &MemberList::of(&all));
+            caller
+        });
+        rows.extend(each.map(|each| (size as f64, each)));
+    }
+    told("a caller of the library, list heard", "bytes resident", &rows, at);
+    let changes: Vec<(f64, f64, f64)> = SIZES
+        .iter()
+        .map(|size| {
+            let (messages, bytes) = view_change(*size);
+            (*size as f64, messages / *size as f64, bytes / *size as f64)
+        })
+        .collect();
+    let (messages, bytes): (Vec<_>, Vec<_>) = changes.iter().map(|c| ((c.0, c.1), (c.0, c.2))).unzip();
+    told("copies: a change of view, holding nothing", "messages a member sends", &messages, at);
+    told("copies: a change of view, holding nothing", "bytes a member sends", &bytes, at);
+
+    let terms = GroupTerms::default();
+    let lease = envelope(Say::AskLease { stamp: 1 << 40 })
+        + envelope(Say::Lease { stamp: 1 << 40, era: 1 << 40, view: 1600, span_ms: 800.0 });
+    let a_second = 1000.0 / terms.renew_ms;
+    println!("leases | bytes an asking and its grant | {lease} | {a_second} a second a member");
+    told("leases at the leader", "bytes a second", &over(&|size| (size - 1) as f64 * lease * a_second), at);
+    told("leases at the leader", "messages in a second", &over(&|size| (size - 1) as f64 * a_second), at);
+
+    let report = Report { zone: "zone-1".into(), report: Seen::default(), outside: Vec::new() };
+    let report =
+        encode(&Wire::Part { from: about(1).id, to: about(2).id, bytes: plain(&report) }).len() as f64;
+    let a_second = 1000.0 / planner::Terms::default().period_ms;
+    println!("zones: a report to the leader | bytes | {report} | {a_second:.2} a second a member");
+    told(
+        "zones: reports at the leader",
+        "bytes a second",
+        &over(&|size| size as f64 * report * a_second),
+        at,
+    );
+
+    let beat = plovershelf_codec::roster::beat("backend-0920", false).len() as f64;
+    println!("service registry: a heartbeat | bytes | {beat} | 4 a second a backend");
+    told("service registry: heartbeats in", "bytes a second", &over(&|size| size as f64 * beat * 4.0), at);
+
+    let heading = Heading { era: 1 << 40, decided: 5000, term: 7, leader: Some(about(0).id) };
+    let probe = |pieces: usize| {
+        let news = (0..pieces).map(news).collect();
+        envelope(Say::Probe { message: Probe::Ping { nonce: u64::MAX / 3, news }, heading })
+    };
+    println!("probes: a ping with no news, with six | bytes | {}, {}", probe(0), probe(6));
+    let exchange = |pieces: usize| {
+        let message = Probe::Exchange { news: (0..pieces).map(news).collect(), answer: true };
+        envelope(Say::Probe { message, heading })
+    };
+    println!("membership: an exchange of forty | bytes | {}", exchange(40));
+
+    let whole = |size: usize| {
+        let state = Decided { view: seats(size), ..Decided::default() };
+        let voters = (0..3).map(|place| about(place).id).collect();
+        let whole = Whole { at: Mark { term: 7, index: 5000 }, voters, voters_at: 1, state };
+        envelope(Say::All { era: 1 << 40, whole })
+    };
+    told("the view, told whole", "bytes", &over(&whole), at);
+
+    let all: Vec<SocketAddr> = (0..920).map(address).collect();
+    let rows = [30, 100, 300, 600, 920].map(|size: usize| {
+        let list = MemberList::of(&all[..size]);
+        let mut callers: Vec<Caller> = (1..=50)
+            .map(|seed| Caller::new(CallerTerms { seed, ..CallerTerms::default() }))
+            .collect::<Result<_, _>>()
+            .unwrap_or_else(|wrong| panic!("default terms: {wrong}"));
+        let began = Instant::now();
+        callers.iter_mut().for_each(|caller| caller.list(0.0, &list));
+        (size as f64, began.elapsed().as_secs_f64() * 1e6 / 50.0)
+    });
+    told("a caller of the library takes a list", "us", &rows, at);
+    let subset = CallerTerms::default().subset as f64;
+    println!(
+        "callers' connections at a backend | connections | {subset} members a caller of the library, evenly | {:.0} with 13,000 callers and {at:.0} backends",
+        13_000.0 * subset / at
+    );
+}
