A tenant's tally fades when it is asked for, not all of them at each arrival

Cause: each arrival multiplied the tallies of all tenants (take_in, src/logic.rs), work that grows with a list of the operator. Change: a tally of a tenant carries the time at which it stood, and fades when it is judged or added to. Benches for it and for the look-up of a tenant by its name, which still walks.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -1,4 +1,5 @@
-//! What a decision costs with so many invocations open: an arrival, its end, and a wake. Run with `cargo bench`.
+//! What a decision costs, an arrival, its end and a wake, with so many invocations open and with so many tenants.
+//! Run with `cargo bench --bench decision`.
 
 use std::hint::black_box;
 
@@ -45,11 +46,11 @@
     }
 }
 
-fn arrival(id: u32, now: f64) -> Arrival {
+fn arrival(id: u32, now: f64, tenant: usize) -> Arrival {
     Arrival {
         id,
         offering: id as usize % 3,
-        tenant: 0,
+        tenant,
         key: 0,
         gives_up_at: Some(now + 1e8),
         work_hint_ms: None,
@@ -64,12 +65,12 @@
 fn decisions(criterion: &mut Criterion) {
     for open in [10u32, 100, 1000, 3000] {
         let (mut backend, _) = Backend::start(0.0, facts());
-        (1..=open).for_each(|id| drop(backend.arrived(1.0, arrival(id, 1.0))));
+        (1..=open).for_each(|id| drop(backend.arrived(1.0, arrival(id, 1.0, 0))));
         let (mut now, mut id) = (10.0, open);
         criterion.bench_function(&format!("arrival, end and wake, {open} open"), |bench| {
             bench.iter(|| {
                 (now, id) = (now + 0.1, id.wrapping_add(1).max(open + 1));
-                black_box(backend.arrived(now, arrival(id, now)));
+                black_box(backend.arrived(now, arrival(id, now, 0)));
                 black_box(backend.run_ended(now, id, RunEnd::Ok));
                 black_box(backend.woke(now, Wake::Due, Gauges::default()));
             });
@@ -77,5 +78,23 @@
     }
 }
 
-criterion_group!(benches, decisions);
+/// Each arrival is another tenant's, and the times pass between them at which a backend has 228 a second.
+fn tenants(criterion: &mut Criterion) {
+    for tenants in [100usize, 1000, 3400, 10_000, 34_000] {
+        let tenant_quotas = vec![f64::MAX; tenants];
+        let (mut backend, _) = Backend::start(0.0, StartFacts { tenant_quotas, ..facts() });
+        let (mut now, mut id, mut tenant) = (10.0, 0u32, 0);
+        criterion.bench_function(&format!("arrival, end and wake, {tenants} tenants"), |bench| {
+            bench.iter(|| {
+                (now, id) = (now + 1000.0 / 228.0, id.wrapping_add(1).max(1));
+                tenant = (tenant + 7919) % tenants;
+                black_box(backend.arrived(now, arrival(id, now, tenant)));
+                black_box(backend.run_ended(now, id, RunEnd::Ok));
+                black_box(backend.woke(now, Wake::Due, Gauges::default()));
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions, tenants);
 criterion_main!(benches);
--- /dev/null
+++ b/crates/plovershelf-facts/benches/lookup.rs
@@ -0,0 +1,24 @@
+//! What it costs to find a tenant's place by its name, with so many tenants. Run with
+//! `cargo bench -p plovershelf-facts --bench lookup`.
+
+use std::hint::black_box;
+
+use criterion::{criterion_group, criterion_main, Criterion};
+
+/// Each look-up is of another tenant, so that the mean over all places counts.
+fn lookups(criterion: &mut Criterion) {
+    for tenants in [100usize, 1000, 3400, 10_000, 34_000] {
+        let names: Vec<String> = (0..tenants).map(|n| format!("tenant-{n:05}")).collect();
+        let mut tenant = 0;
+        criterion.bench_function(&format!("walk over {tenants} names"), |bench| {
+            bench.iter(|| {
+                tenant = (tenant + 7919) % tenants;
+                let name = black_box(names[tenant].as_str());
+                black_box(names.iter().position(|known| known == name))
+            });
+        });
+    }
+}
+
+criterion_group!(benches, lookups);
+criterion_main!(benches);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -108,6 +108,24 @@
     usual_waits: Vec<(f64, i32)>,
 }
 
+/// How many invocations of a tenant were admitted of late: a sum that decays, as it stood at a time. It is
+/// brought up to date when it is asked for. Guards against work at each arrival that grows with the tenants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Admitted {
+    sum: f64,
+    at: f64,
+}
+
+impl Admitted {
+    fn faded(self, now: f64) -> f64 {
+        self.sum * fade(now - self.at)
+    }
+
+    fn add(&mut self, now: f64) {
+        *self = Admitted { sum: self.faded(now) + 1.0, at: now };
+    }
+}
+
 struct Invocation {
     state: State,
     offering: usize,
@@ -180,7 +198,7 @@
     buckets: usize,
     tallies: Vec<f64>,
     counters: Vec<u32>,
-    tenants: Vec<f64>,
+    tenants: Vec<Admitted>,
     tally_time: f64,
     advised: f64,
     /// How long idle connections are to stay, and the last span told.
@@ -192,6 +210,11 @@
     out: Outcome,
 }
 
+/// What is left of a tally after so long.
+fn fade(passed_ms: f64) -> f64 {
+    0.5f64.powf(passed_ms / TALLY_HALF_MS)
+}
+
 fn bits(time: f64) -> u64 {
     time.max(0.0).to_bits()
 }
@@ -238,7 +261,7 @@
             buckets: values.len(),
             tallies: vec![0.0; 2 * values.len()],
             counters: vec![0; 2 * values.len()],
-            tenants: vec![0.0; facts.tenant_quotas.len()],
+            tenants: vec![Admitted { sum: 0.0, at: now }; facts.tenant_quotas.len()],
             tally_time: now,
             advised: -1.0,
             idle_ms: facts.idle_most_ms,
@@ -298,7 +321,7 @@
                 return self.result();
             }
         }
-        self.tenants.get_mut(arrival.tenant).into_iter().for_each(|admitted| *admitted += 1.0);
+        self.tenants.get_mut(arrival.tenant).into_iter().for_each(|admitted| admitted.add(now));
         self.remember(id, &arrival);
         self.run_held();
         self.result()
@@ -513,7 +536,8 @@
     }
 
     fn tenant_over_quota(&self, tenant: usize) -> bool {
-        let per_s = |admitted: &f64| admitted * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
+        let per_s =
+            |admitted: &Admitted| admitted.faded(self.now) * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
         let quota = self.facts.tenant_quotas.get(tenant).map(|quota| quota / self.facts.servers);
         self.tenants.get(tenant).zip(quota).is_some_and(|(admitted, quota)| per_s(admitted) > quota)
     }
@@ -571,10 +595,10 @@
 
     /// Takes an arrival into the hold; returns how much of its contract time is left.
     fn take_in(&mut self, arrival: &Arrival) -> f64 {
-        let fade = 0.5f64.powf((self.now - self.tally_time) / TALLY_HALF_MS);
+        let fade = fade(self.now - self.tally_time);
         self.tally_time = self.now;
         self.offerings.iter_mut().for_each(|o| o.tally *= fade);
-        self.tallies.iter_mut().chain(&mut self.tenants).for_each(|t| *t *= fade);
+        self.tallies.iter_mut().for_each(|t| *t *= fade);
         self.unread_ms += UNREAD_WEIGHT * (arrival.unread_ms - self.unread_ms);
         self.offerings[arrival.offering].tally += 1.0;
         let row = &self.offerings[arrival.offering];
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -126,7 +126,7 @@
 #[test]
 fn tenants_over_quota_are_cut_before_the_lowest_rank() {
     let mut backend = started(StartFacts { tenant_quotas: vec![40.0, 40.0], ..facts() });
-    backend.tenants = vec![100.0, 10.0];
+    backend.tenants = [100.0, 10.0].map(|sum| Admitted { sum, at: 0.0 }).to_vec();
     assert!(backend.tenant_over_quota(0) && !backend.tenant_over_quota(1));
     backend.tallies = vec![10.0, 20.0, 30.0, 40.0];
     assert_eq!(cut_of_twenty(&mut backend, 1, 0.7), 20);
@@ -711,3 +711,86 @@
     cold.advise();
     assert!(cold.out.words.advice.is_some_and(|each| each < 0.02));
 }
+
+/// Every tally of a tenant faded at every arrival, as a reference.
+struct Eager {
+    tallies: Vec<f64>,
+    at: f64,
+}
+
+impl Eager {
+    fn pass_to(&mut self, now: f64) {
+        let fade = 0.5f64.powf((now - self.at) / TALLY_HALF_MS);
+        self.tallies.iter_mut().for_each(|tally| *tally *= fade);
+        self.at = now;
+    }
+}
+
+#[test]
+fn tenants_that_fade_when_asked_for_are_judged_as_if_all_faded_at_each_arrival() {
+    const TENANTS: usize = 300;
+    const LATE: usize = 20;
+    for seed in 1..=4 {
+        let mut chance = Pcg(seed);
+        let quotas: Vec<f64> = (0..TENANTS).map(|_| 40.0 * chance.next()).collect();
+        let mut backend = started(StartFacts { tenant_quotas: quotas.clone(), ..facts() });
+        let mut eager = Eager { tallies: vec![0.0; TENANTS], at: 0.0 };
+        let (mut now, mut over, mut inside, mut refused) = (0.0, 0, 0, 0);
+        for step in 1..=10_000u32 {
+            now += match (chance.next() * 1000.0) as u32 {
+                0 => 3_600_000.0 * chance.next(),
+                1..=5 => 5000.0 * chance.next(),
+                6..=300 => 0.0,
+                _ => 10.0 * chance.next(),
+            };
+            // The last few tenants are first seen when the others have been for long.
+            let known = if step > 7000 { TENANTS } else { TENANTS - LATE };
+            let tenant = (chance.next().powi(4) * known as f64) as usize;
+            let tenant =
+                if step > 7000 && step % 3 == 0 { TENANTS - 1 - step as usize % LATE } else { tenant };
+            // One whose time is over is turned away before its tenant counts.
+            let gives_up_at = (step % 10 == 0).then_some(now);
+            // The lower half of the order is for those over quota.
+            let cut_first = backend.tallies[..2].iter().sum::<f64>() * fade(now - backend.tally_time);
+            let outcome = backend.arrived(now, Arrival { tenant, gives_up_at, ..arrival(step, 3) });
+            eager.pass_to(now);
+            let tally = eager.tallies[tenant];
+            if gives_up_at.is_some() {
+                assert!(dismissed(&outcome));
+                refused += 1;
+            } else {
+                assert!(let_in(&outcome, step), "step {step}");
+                let quota = quotas[tenant] / backend.facts.servers;
+                let per_s = tally * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
+                // Nearer than this the two may round to different sides.
+                if (per_s - quota).abs() > 1e-9 {
+                    let was_over = backend.tallies[..2].iter().sum::<f64>() > cut_first + 0.5;
+                    assert_eq!(was_over, per_s > quota, "seed {seed}, step {step}, tenant {tenant}");
+                    over += u32::from(was_over);
+                    inside += u32::from(!was_over);
+                }
+                eager.tallies[tenant] += 1.0;
+                drop(backend.run_ended(now, step, RunEnd::Ok));
+            }
+            for (known, tally) in backend.tenants.iter().zip(&eager.tallies) {
+                assert!(
+                    (known.faded(now) - tally).abs() <= 1e-9 * tally.max(1e-3),
+                    "seed {seed}, step {step}"
+                );
+            }
+        }
+        assert!(over > 1000 && inside > 1000 && refused > 900, "{over} {inside} {refused}");
+    }
+}
+
+#[test]
+fn an_arrival_touches_no_other_tenant_than_its_own() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![1e6; 5], ..facts() });
+    for tenant in 0..5 {
+        drop(backend.arrived(0.0, Arrival { tenant, ..arrival(1 + tenant as u32, 0) }));
+    }
+    let before = backend.tenants.clone();
+    drop(backend.arrived(700.0, Arrival { tenant: 2, ..arrival(9, 0) }));
+    let touched: Vec<usize> = (0..5).filter(|place| backend.tenants[*place] != before[*place]).collect();
+    assert_eq!(touched, [2]);
+}
