Backend::quotas: tenants' quotas told while it serves

Need: quotas were start facts, so a change of one took a restart. Change: a call with places and new quotas; what comes next is judged by them against the tallies as they stand. With one place out of range, or a figure that is not finite or under 0, none of them changes, and a note names it. Nothing calls it yet. The module's own soft and hard quota are load_quotas now, so that one name means one thing. Tests for the change, for the tally that fades on through it, for each kind of bad figure alone and among good ones, and for a due time that passes meanwhile.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -408,7 +408,7 @@
             self.ease += SMOOTH * (self.part_let_in() - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
-            let room = || (self.quotas().1 * self.facts.cores, self.calls_most.min(self.at_call_most()));
+            let room = || (self.load_quotas().1 * self.facts.cores, self.calls_most.min(self.at_call_most()));
             self.out.words.room = self.pools.as_ref().map(|_| room());
         } else if now + 0.01 >= self.woken_for {
             // Superseded wakes come too: only the one that was waited for clears the way for the next.
@@ -435,6 +435,22 @@
         self.result()
     }
 
+    /// New quotas of tenants, told while the backend serves: a tenant's place in the start facts, and its
+    /// invocations a second over the whole fleet inside its share. Arrivals are judged by them from now on,
+    /// against the tallies as they stand. With one that can't be, none of them changes and a note names it.
+    pub fn quotas(&mut self, now: f64, changed: &[(usize, f64)]) -> Outcome {
+        self.pass_to(now);
+        let known = self.facts.tenant_quotas.len();
+        let can_be = |&&(place, quota): &&(usize, f64)| place < known && quota.is_finite() && quota >= 0.0;
+        if let Some((place, quota)) = changed.iter().find(|one| !can_be(one)) {
+            let what = format!("no quota changes: {quota} a second for tenant {place} of {known} can't be");
+            self.out.words.notes.push(what);
+        } else {
+            changed.iter().for_each(|&(place, quota)| self.facts.tenant_quotas[place] = quota);
+        }
+        self.result()
+    }
+
     // ---- quotas -------------------------------------------------------------------------------------
 
     /// Runs a core that are on the cores or wait for disk; those at a call have a bound of their own.
@@ -455,7 +471,7 @@
     }
 
     /// The soft and the hard quota, in runs a core; the hard one's ceiling rises from cold to warm.
-    fn quotas(&self) -> (f64, f64) {
+    fn load_quotas(&self) -> (f64, f64) {
         let wanted = self.paced_crowd().unwrap_or(HARD_FIRST * self.warmth());
         let hard = wanted.min(HARD_OF_SURVIVABLE * self.survivable()).max(1.0 + 1.0 / self.facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
@@ -463,7 +479,7 @@
 
     /// All that stands at calls may come back to the cores at once, beside as many runs as the quota lets in.
     fn at_call_most(&self) -> f64 {
-        let room = CALLERS_BACK * self.survivable() - self.quotas().1;
+        let room = CALLERS_BACK * self.survivable() - self.load_quotas().1;
         (self.facts.cores * room.min(AT_CALL_HARD)).max(1.0)
     }
 
@@ -486,7 +502,7 @@
         let stepped = |soft: f64, hard: f64, load: f64| {
             ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
         };
-        let (soft, hard) = self.quotas();
+        let (soft, hard) = self.load_quotas();
         let mut part = stepped(soft, hard, self.load());
         let idle = self.busy < GATE_BUSY;
         part = if part > 0.0 && idle { 1.0 } else { part };
@@ -502,7 +518,7 @@
         let Some((pool, room)) = self.pool_room(offering) else { return part };
         let (runs, calls) = self.hand.pooled[pool];
         let (runs, calls) = (runs as f64, calls as f64);
-        let holds = self.load() < self.quotas().1 && (self.hand.at_call as f64) < self.at_call_most();
+        let holds = self.load() < self.load_quotas().1 && (self.hand.at_call as f64) < self.at_call_most();
         match runs {
             runs if runs >= room.runs || calls >= room.calls => 0.0,
             runs if runs < room.kept && holds => 1.0,
@@ -722,7 +738,7 @@
 
     fn run_held(&mut self) {
         loop {
-            let (_, hard) = self.quotas();
+            let (_, hard) = self.load_quotas();
             if self.load() >= hard || self.hand.at_call as f64 >= self.at_call_most() {
                 return;
             }
@@ -850,7 +866,7 @@
             // A part of the quota for each caller. One each may add up to more with many of them, which a cold
             // one does not bear: there a fraction counts by chance.
             AdviceMeaning::OutstandingPerCaller => {
-                let each = self.facts.cores * self.quotas().1 / self.facts.callers;
+                let each = self.facts.cores * self.load_quotas().1 / self.facts.callers;
                 each.max(if self.warmth() < 1.0 { 0.0 } else { 1.0 })
             }
             // A cold one takes no more of the usual than it has of its speed.
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -94,7 +94,7 @@
 
 #[test]
 fn the_part_let_in_falls_by_steps_from_soft_to_hard() {
-    let (soft, hard) = running(0).quotas();
+    let (soft, hard) = running(0).load_quotas();
     assert!(soft >= 1.0 && hard > soft);
     let mut parts: Vec<f64> = (0..12).map(|runs| running(runs).part_let_in()).collect();
     assert_eq!(parts[4], 1.0);
@@ -150,7 +150,7 @@
     let mut last = 0.0;
     for at in [0.0, 900.0, 1100.0, 4000.0, 8000.0, 20_000.0] {
         backend.now = at;
-        let (_, hard) = backend.quotas();
+        let (_, hard) = backend.load_quotas();
         assert!(hard >= last && hard <= 1.0 + 7.0 * backend.warmth());
         last = hard;
     }
@@ -195,9 +195,9 @@
     let mut backend = running(0);
     let row = &mut backend.offerings[1];
     (row.runs, row.core_ms, row.tally) = (10.0, 10.0 * 200.0, 10.0);
-    let before = backend.quotas().1;
+    let before = backend.load_quotas().1;
     backend.unread_ms = 150.0;
-    assert!(backend.quotas().1 < before);
+    assert!(backend.load_quotas().1 < before);
 }
 
 #[test]
@@ -794,3 +794,61 @@
     let touched: Vec<usize> = (0..5).filter(|place| backend.tenants[*place] != before[*place]).collect();
     assert_eq!(touched, [2]);
 }
+
+#[test]
+fn quotas_told_while_it_serves_judge_what_comes_next_against_the_tallies_as_they_stand() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![1e6, 1e6], ..facts() });
+    for id in 1..=8 {
+        drop(backend.arrived(100.0, arrival(id, 0)));
+        drop(backend.run_ended(100.0, id, RunEnd::Ok));
+    }
+    // Eight of late are 2.77 a second here, so 11.09 over the four servers that share a quota.
+    assert!(!backend.tenant_over_quota(0));
+    let told = backend.quotas(100.0, &[(0, 11.0)]);
+    assert!(told.words.notes.is_empty() && told.changes.is_empty());
+    assert!(backend.tenant_over_quota(0) && !backend.tenant_over_quota(1));
+    assert_eq!(backend.tenants[0].faded(100.0), 8.0);
+    let judged = |backend: &mut Backend, now, id| {
+        let before = backend.tallies[0] * fade(now - backend.tally_time);
+        drop(backend.arrived(now, Arrival { gives_up_at: None, ..arrival(id, 0) }));
+        drop(backend.run_ended(now, id, RunEnd::Ok));
+        backend.tallies[0] > before + 0.5
+    };
+    assert!(judged(&mut backend, 100.0, 20));
+    drop(backend.quotas(100.0, &[(0, 13.0), (1, 0.0)]));
+    assert!(!judged(&mut backend, 100.0, 21));
+    // The tally faded on through the change: ten of late are five after one half-life.
+    drop(backend.quotas(100.0 + TALLY_HALF_MS, &[(0, 7.0)]));
+    assert!((backend.tenants[0].faded(100.0 + TALLY_HALF_MS) - 5.0).abs() < 1e-9);
+    assert!(!judged(&mut backend, 100.0 + TALLY_HALF_MS, 22));
+    assert!(judged(&mut backend, 100.0 + TALLY_HALF_MS, 23));
+}
+
+#[test]
+fn quotas_that_can_not_be_change_nothing_and_are_named() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![40.0, 50.0], ..facts() });
+    drop(backend.quotas(5.0, &[]));
+    let bad =
+        [(2, 1.0), (usize::MAX, 1.0), (1, f64::NAN), (1, f64::INFINITY), (1, -1.0), (0, f64::NEG_INFINITY)];
+    for (place, quota) in bad {
+        for changed in [vec![(place, quota)], vec![(0, 1.0), (place, quota), (1, 2.0)]] {
+            let notes = backend.quotas(5.0, &changed).words.notes;
+            assert_eq!(backend.facts.tenant_quotas, [40.0, 50.0]);
+            let named =
+                |note: &String| note.contains(&place.to_string()) && note.contains(&quota.to_string());
+            assert!(notes.len() == 1 && notes.iter().all(named), "{notes:?}");
+        }
+    }
+    assert!(backend.quotas(5.0, &[(0, 0.0), (1, f64::MAX)]).words.notes.is_empty());
+    assert_eq!(backend.facts.tenant_quotas, [0.0, f64::MAX]);
+    // Without tenants there is nothing that could change.
+    assert_eq!(started(facts()).quotas(5.0, &[(0, 1.0)]).words.notes.len(), 1);
+}
+
+#[test]
+fn a_due_time_that_passes_as_quotas_are_told_is_kept() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![40.0], ..facts() });
+    drop(backend.arrived(0.0, Arrival { gives_up_at: Some(50.0), ..arrival(1, 0) }));
+    let outcome = backend.quotas(60.0, &[(0, 30.0)]);
+    assert!(matches!(last(&outcome), State::Spent { ending: Ending::Dismissed { .. }, .. }), "{outcome:?}");
+}
