--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -94,7 +94,7 @@
 
 #[test]
 fn the_part_let_in_falls_by_steps_from_soft_to_hard() {
-    let (soft, hard) = running(0).quotas();
+    let (soft, hard) = running(0).load_quotas();
     assert!(soft >= 1.0 && hard > soft);
     let mut parts: Vec<f64> = (0..12).map(|runs| running(runs).part_let_in()).collect();
     assert_eq!(parts[4], 1.0);
@@ -126,7 +126,7 @@
 #[test]
 fn tenants_over_quota_are_cut_before_the_lowest_rank() {
     let mut backend = started(StartFacts { tenant_quotas: vec![40.0, 40.0], ..facts() });
-    backend.tenants = vec![100.0, 10.0];
+    backend.tenants = [100.0, 10.0].map(|sum| Admitted { sum, at: 0.0 }).to_vec();
     assert!(backend.tenant_over_quota(0) && !backend.tenant_over_quota(1));
     backend.tallies = vec![10.0, 20.0, 30.0, 40.0];
     assert_eq!(cut_of_twenty(&mut backend, 1, 0.7), 20);
@@ -150,7 +150,7 @@
     let mut last = 0.0;
     for at in [0.0, 900.0, 1100.0, 4000.0, 8000.0, 20_000.0] {
         backend.now = at;
-        let (_, hard) = backend.quotas();
+        let (_, hard) = backend.load_quotas();
         assert!(hard >= last && hard <= 1.0 + 7.0 * backend.warmth());
         last = hard;
     }
@@ -195,9 +195,9 @@
     let mut backend = running(0);
     let row = &mut backend.offerings[1];
     (row.runs, row.core_ms, row.tally) = (10.0, 10.0 * 200.0, 10.0);
-    let before = backend.quotas().1;
+    let before = backend.load_quotas().1;
     backend.unread_ms = 150.0;
-    assert!(backend.quotas().1 < before);
+    assert!(backend.load_quotas().1 < before);
 }
 
 #[test]
@@ -711,3 +711,144 @@
     cold.advise();
     assert!(cold.out.words.advice.is_some_and(|each| each < 0.02));
 }
+
+/// Every tally of a tenant faded at every arrival, as a reference.
+struct Eager {
+    tallies: Vec<f64>,
+    at: f64,
+}
+
+impl Eager {
+    fn pass_to(&mut self, now: f64) {
+        let fade = 0.5f64.powf((now - self.at) / TALLY_HALF_MS);
+        self.tallies.iter_mut().for_each(|tally| *tally *= fade);
+        self.at = now;
+    }
+}
+
+#[test]
+fn tenants_that_fade_when_asked_for_are_judged_as_if_all_faded_at_each_arrival() {
+    const TENANTS: usize = 300;
+    const LATE: usize = 20;
+    for seed in 1..=4 {
+        let mut chance = Pcg(seed);
+        let quotas: Vec<f64> = (0..TENANTS).map(|_| 40.0 * chance.next()).collect();
+        let mut backend = started(StartFacts { tenant_quotas: quotas.clone(), ..facts() });
+        let mut eager = Eager { tallies: vec![0.0; TENANTS], at: 0.0 };
+        let (mut now, mut over, mut inside, mut refused) = (0.0, 0, 0, 0);
+        for step in 1..=10_000u32 {
+            now += match (chance.next() * 1000.0) as u32 {
+                0 => 3_600_000.0 * chance.next(),
+                1..=5 => 5000.0 * chance.next(),
+                6..=300 => 0.0,
+                _ => 10.0 * chance.next(),
+            };
+            // The last few tenants are first seen when the others have been for long.
+            let known = if step > 7000 { TENANTS } else { TENANTS - LATE };
+            let tenant = (chance.next().powi(4) * known as f64) as usize;
+            let tenant =
+                if step > 7000 && step % 3 == 0 { TENANTS - 1 - step as usize % LATE } else { tenant };
+            // One whose time is over is turned away before its tenant counts.
+            let gives_up_at = (step % 10 == 0).then_some(now);
+            // The lower half of the order is for those over quota.
+            let cut_first = backend.tallies[..2].iter().sum::<f64>() * fade(now - backend.tally_time);
+            let outcome = backend.arrived(now, Arrival { tenant, gives_up_at, ..arrival(step, 3) });
+            eager.pass_to(now);
+            let tally = eager.tallies[tenant];
+            if gives_up_at.is_some() {
+                assert!(dismissed(&outcome));
+                refused += 1;
+            } else {
+                assert!(let_in(&outcome, step), "step {step}");
+                let quota = quotas[tenant] / backend.facts.servers;
+                let per_s = tally * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
+                // Nearer than this the two may round to different sides.
+                if (per_s - quota).abs() > 1e-9 {
+                    let was_over = backend.tallies[..2].iter().sum::<f64>() > cut_first + 0.5;
+                    assert_eq!(was_over, per_s > quota, "seed {seed}, step {step}, tenant {tenant}");
+                    over += u32::from(was_over);
+                    inside += u32::from(!was_over);
+                }
+                eager.tallies[tenant] += 1.0;
+                drop(backend.run_ended(now, step, RunEnd::Ok));
+            }
+            for (known, tally) in backend.tenants.iter().zip(&eager.tallies) {
+                assert!(
+                    (known.faded(now) - tally).abs() <= 1e-9 * tally.max(1e-3),
+                    "seed {seed}, step {step}"
+                );
+            }
+        }
+        assert!(over > 1000 && inside > 1000 && refused > 900, "{over} {inside} {refused}");
+    }
+}
+
+#[test]
+fn an_arrival_touches_no_other_tenant_than_its_own() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![1e6; 5], ..facts() });
+    for tenant in 0..5 {
+        drop(backend.arrived(0.0, Arrival { tenant, ..arrival(1 + tenant as u32, 0) }));
+    }
+    let before = backend.tenants.clone();
+    drop(backend.arrived(700.0, Arrival { tenant: 2, ..arrival(9, 0) }));
+    let touched: Vec<usize> = (0..5).filter(|place| backend.tenants[*place] != before[*place]).collect();
+    assert_eq!(touched, [2]);
+}
+
+#[test]
+fn quotas_told_while_it_serves_judge_what_comes_next_against_the_tallies_as_they_stand() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![1e6, 1e6], ..facts() });
+    for id in 1..=8 {
+        drop(backend.arrived(100.0, arrival(id, 0)));
+        drop(backend.run_ended(100.0, id, RunEnd::Ok));
+    }
+    // Eight of late are 2.77 a second here, so 11.09 over the four servers that share a quota.
+    assert!(!backend.tenant_over_quota(0));
+    let told = backend.quotas(100.0, &[(0, 11.0)]);
+    assert!(told.words.notes.is_empty() && told.changes.is_empty());
+    assert!(backend.tenant_over_quota(0) && !backend.tenant_over_quota(1));
+    assert_eq!(backend.tenants[0].faded(100.0), 8.0);
+    let judged = |backend: &mut Backend, now, id| {
+        let before = backend.tallies[0] * fade(now - backend.tally_time);
+        drop(backend.arrived(now, Arrival { gives_up_at: None, ..arrival(id, 0) }));
+        drop(backend.run_ended(now, id, RunEnd::Ok));
+        backend.tallies[0] > before + 0.5
+    };
+    assert!(judged(&mut backend, 100.0, 20));
+    drop(backend.quotas(100.0, &[(0, 13.0), (1, 0.0)]));
+    assert!(!judged(&mut backend, 100.0, 21));
+    // The tally faded on through the change: ten of late are five after one half-life.
+    drop(backend.quotas(100.0 + TALLY_HALF_MS, &[(0, 7.0)]));
+    assert!((backend.tenants[0].faded(100.0 + TALLY_HALF_MS) - 5.0).abs() < 1e-9);
+    assert!(!judged(&mut backend, 100.0 + TALLY_HALF_MS, 22));
+    assert!(judged(&mut backend, 100.0 + TALLY_HALF_MS, 23));
+}
+
+#[test]
+fn quotas_that_can_not_be_change_nothing_and_are_named() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![40.0, 50.0], ..facts() });
+    drop(backend.quotas(5.0, &[]));
+    let bad =
+        [(2, 1.0), (usize::MAX, 1.0), (1, f64::NAN), (1, f64::INFINITY), (1, -1.0), (0, f64::NEG_INFINITY)];
+    for (place, quota) in bad {
+        for changed in [vec![(place, quota)], vec![(0, 1.0), (place, quota), (1, 2.0)]] {
+            let notes = backend.quotas(5.0, &changed).words.notes;
+            assert_eq!(backend.facts.tenant_quotas, [40.0, 50.0]);
+            let named =
+                |note: &String| note.contains(&place.to_string()) && note.contains(&quota.to_string());
+            assert!(notes.len() == 1 && notes.iter().all(named), "{notes:?}");
+        }
+    }
+    assert!(backend.quotas(5.0, &[(0, 0.0), (1, f64::MAX)]).words.notes.is_empty());
+    assert_eq!(backend.facts.tenant_quotas, [0.0, f64::MAX]);
+    // Without tenants there is nothing that could change.
+    assert_eq!(started(facts()).quotas(5.0, &[(0, 1.0)]).words.notes.len(), 1);
+}
+
+#[test]
+fn a_due_time_that_passes_as_quotas_are_told_is_kept() {
+    let mut backend = started(StartFacts { tenant_quotas: vec![40.0], ..facts() });
+    drop(backend.arrived(0.0, Arrival { gives_up_at: Some(50.0), ..arrival(1, 0) }));
+    let outcome = backend.quotas(60.0, &[(0, 30.0)]);
+    assert!(matches!(last(&outcome), State::Spent { ending: Ending::Dismissed { .. }, .. }), "{outcome:?}");
+}
