--- a/crates/plovershelf-changes/src/lib.rs
+++ b/crates/plovershelf-changes/src/lib.rs
@@ -3,7 +3,22 @@
 //! same way. Everything here is told the time, messages and ends of links, and returns what to send and to tell; it owns no
 //! clock, socket or file.
 //!
-//! [`node::Node`] is one process and joins the parts; [`content`] is what changes are made of.
+//! | promise | what it says |
+//! | --- | --- |
+//! | ONE_CONTENT_A_NUMBER | two processes that have the same version in force have the same content in force |
+//! | NEVER_BACKWARDS | a process's version in force only ever grows |
+//! | AGREED_IS_IN_FORCE | what was agreed is in force within 4 s on all that a source can be reached from |
+//! | CUT_OFF_SERVES_ON | a process that hears nobody keeps its content and says how old it is |
+//! | BAD_CHANGES_NOTHING | a change that does not fit is in force nowhere, not even in part |
+//!
+//! [`node::Node`] is one process and joins the parts: [`content`] is what changes are made of, [`attach`] decides whom one
+//! hears from, [`spread`] what goes to whom, [`sums`] what comes back, [`pull`] how what is missing is fetched.
 
+pub mod attach;
+pub mod broken;
 pub mod content;
+pub mod message;
 pub mod node;
+pub mod pull;
+pub mod spread;
+pub mod sums;
--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -2,9 +2,19 @@
 
 use std::net::SocketAddr;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
 
-use crate::content::{Content, Edit, Numbered, Version};
+use crate::attach::{State, Step, Up};
+use crate::broken::{self, Broken};
+use crate::content::{Building, Content, Edit, History, Numbered, Unfit, Version, NAME_MOST, PART_BYTES};
+pub use crate::message::Message;
+use crate::message::{Newest, Sum, LIST_MOST, MISSING_MOST, PLACES_MOST};
+use crate::pull::{Pull, BEGUN_MOST};
+use crate::spread::{self, Child, Spread};
+use crate::sums::{self, Gone};
 
 /// What a process says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +28,13 @@
     pub life: u64,
 }
 
+impl About {
+    fn is_bounded(&self) -> bool {
+        let fits = |text: &str| text.len() <= NAME_MOST && !text.chars().any(char::is_control);
+        !self.name.is_empty() && fits(&self.name) && fits(&self.zone) && fits(&self.region)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     /// Knows from its council what was agreed.
@@ -27,11 +44,65 @@
 
 /// Spans in milliseconds, counts.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {}
+pub struct Terms {
+    /// How many a relay feeds, and how many with those that lost their relay.
+    pub fan_out: usize,
+    pub failover_fan_out: usize,
+    /// The same of a source, which feeds relays only.
+    pub source_fan_out: usize,
+    pub source_failover_fan_out: usize,
+    /// Between signs of life from a parent, and between sums from a child.
+    pub beat_ms: f64,
+    pub sum_ms: f64,
+    /// A parent is lost after this, drawn between the two for each process.
+    pub silent_ms: (f64, f64),
+    pub child_silent_ms: f64,
+    /// Changes that come closer than this go on together, sums too.
+    pub coalesce_ms: f64,
+    pub sum_least_ms: f64,
+    /// How often a leaf, and a relay, asks its spare whether that has newer.
+    pub spare_check_ms: f64,
+    pub relay_check_ms: f64,
+    /// A source's word that is older than this has the spare asked at once.
+    pub stale_ms: f64,
+    /// Until an answer to an attachment, and to what is fetched, is given up.
+    pub answer_ms: f64,
+    pub pull_ms: f64,
+    /// The longest pause before a source is asked again, and what the first questions are spread over.
+    pub pause_most_ms: f64,
+    pub start_spread_ms: f64,
+    /// How often sources tell of relays.
+    pub near_ms: f64,
+    /// A relay that feeds nobody for so long is a leaf again.
+    pub leaf_again_ms: f64,
+    /// A process that was not called for so long was stopped itself and takes nobody for silent.
+    pub stopped_ms: f64,
+}
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms {}
+        Terms {
+            fan_out: 16,
+            failover_fan_out: 32,
+            source_fan_out: 32,
+            source_failover_fan_out: 64,
+            beat_ms: 500.0,
+            sum_ms: 1000.0,
+            silent_ms: (1200.0, 1500.0),
+            child_silent_ms: 2500.0,
+            coalesce_ms: 30.0,
+            sum_least_ms: 100.0,
+            spare_check_ms: 10_000.0,
+            relay_check_ms: 2000.0,
+            stale_ms: 2500.0,
+            answer_ms: 400.0,
+            pull_ms: 1000.0,
+            pause_most_ms: 1500.0,
+            start_spread_ms: 200.0,
+            near_ms: 2000.0,
+            leaf_again_ms: 120_000.0,
+            stopped_ms: 700.0,
+        }
     }
 }
 
@@ -47,10 +118,6 @@
     pub seed: u64,
 }
 
-/// What processes say to each other; each travels with the address of its sender.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {}
-
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// In force from now on: differences, in order.
@@ -85,63 +152,855 @@
     pub spare: Option<SocketAddr>,
     pub children: u64,
     /// Summed on the way back: processes under this one, how many of them have this version in force, the oldest version
-    /// among them, and some of those that are missing, by name.
+    /// among them, and some of those that are missing, by name. A listener counts itself, a source does not.
     pub under: u64,
     pub in_force: u64,
     pub oldest: Version,
     pub missing: Vec<String>,
 }
 
-pub struct Node {}
+/// Times that come round.
+#[derive(Clone, Debug)]
+struct Due {
+    beat: f64,
+    near: f64,
+    check: f64,
+    /// The next sum, and the earliest that one may follow on the last.
+    sum: f64,
+    sum_least: f64,
+    /// Children have not been sent the newest; not before this.
+    flush: Option<f64>,
+    flush_least: f64,
+    /// Nothing is fetched before.
+    pull: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Node {
+    about: About,
+    role: Role,
+    terms: Terms,
+    rng: Pcg32,
+    silent_ms: f64,
+    content: Content,
+    history: History,
+    up: Up,
+    spread: Spread,
+    gone: Gone,
+    pull: Option<Pull>,
+    /// Pulls in a row that nothing came of.
+    pull_failed: u32,
+    /// What the parent was last heard to have.
+    parent_newest: Option<Newest>,
+    /// When a source's word last left it, as far as known here.
+    word_at: Option<f64>,
+    /// What the spare had that was not here, when it was asked last.
+    behind: Option<Version>,
+    idle_since: f64,
+    due: Due,
+    called_at: f64,
+    out: Out,
+}
 
 impl Node {
-    pub fn new(_start: Start, _now: f64) -> Self {
-        todo!()
+    pub fn new(start: Start, now: f64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(start.seed);
+        let terms = start.terms;
+        let source = start.role == Role::Source;
+        let others: Vec<SocketAddr> =
+            start.sources.iter().copied().filter(|at| *at != start.about.address).collect();
+        let (least, most) = terms.silent_ms;
+        let silent_ms = rng.random_range(least..=most.max(least));
+        let up = Up::new(if source { Vec::new() } else { others.clone() }, now, &terms, &mut rng);
+        let spread = Spread::new(if source { &others } else { &[] });
+        Node {
+            about: start.about,
+            role: start.role,
+            silent_ms,
+            content: start.held,
+            history: History::default(),
+            up,
+            spread,
+            gone: Gone::default(),
+            pull: None,
+            pull_failed: 0,
+            parent_newest: None,
+            word_at: None,
+            behind: None,
+            idle_since: now,
+            due: Due {
+                beat: now,
+                near: now,
+                check: now + rng.random_range(0.5..1.0) * terms.spare_check_ms,
+                sum: now,
+                sum_least: now,
+                flush: None,
+                flush_least: now,
+                pull: now,
+            },
+            called_at: now,
+            out: Out::default(),
+            terms,
+            rng,
+        }
     }
     pub fn about(&self) -> &About {
-        todo!()
+        &self.about
     }
     pub fn content(&self) -> &Content {
-        todo!()
+        &self.content
+    }
+    /// Whether it feeds others.
+    pub fn is_relay(&self) -> bool {
+        self.up.relay
     }
     pub fn next_at(&self) -> f64 {
-        todo!()
+        let mut at = self.due.beat;
+        if let Some(flush) = self.due.flush {
+            at = at.min(flush);
+        }
+        if let Some(pull) = &self.pull {
+            at = at.min(pull.until);
+        } else if self.ahead().is_some() {
+            at = at.min(self.due.pull.max(self.called_at));
+        }
+        at = at.min(self.spread.next_silent_at(&self.terms));
+        match self.role {
+            Role::Source => at.min(self.due.near),
+            Role::Listener => {
+                if self.up.parent().is_some() {
+                    at = at.min(self.due.sum).min(self.due.check);
+                }
+                at.min(self.up.next_at(self.silent_ms))
+            }
+        }
     }
     pub fn take(&mut self) -> Out {
-        todo!()
+        std::mem::take(&mut self.out)
     }
-    pub fn tick(&mut self, _now: f64) {
-        todo!()
+    pub fn tick(&mut self, now: f64) {
+        self.wake(now);
+        self.flush(now);
+        self.tick_children(now);
+        if now >= self.due.beat {
+            self.due.beat = now + self.terms.beat_ms;
+            let newest = self.newest(now);
+            let to = self.spread.children.iter().map(|child| child.address);
+            let to: Vec<SocketAddr> = to.chain(self.spread.peers.iter().map(|peer| peer.address)).collect();
+            for to in to {
+                self.send(to, Message::Beat(newest));
+            }
+            self.gone.fade(now);
+        }
+        match self.role {
+            Role::Source => self.tick_source(now),
+            Role::Listener => self.tick_listener(now),
+        }
+        self.catch_up(now);
     }
-    /// A message from the process that is reached at `from`.
-    pub fn hear(&mut self, _now: f64, _from: SocketAddr, _message: Message) {
-        todo!()
+    /// A message from the process that is reached at `from`. One from a stranger is ignored but for what seeks attachment.
+    pub fn hear(&mut self, now: f64, from: SocketAddr, message: Message) {
+        self.wake(now);
+        if from == self.about.address {
+            return;
+        }
+        let parent = self.up.parent() == Some(from);
+        let peer = self.spread.peers.iter().any(|peer| peer.address == from);
+        match message {
+            Message::Seek { about, avoid, sent_on } => self.hear_seek(now, from, &about, &avoid, sent_on),
+            Message::Ways { relays, relay, over, ask } => self.hear_ways(now, from, relays, relay, over, ask),
+            Message::Attach { about, newest, relay, over } => {
+                self.hear_attach(now, from, about, newest, relay, over);
+            }
+            Message::Attached(newest) => self.hear_attached(now, from, newest),
+            Message::Refused if parent => {
+                // Not known there any more, as after a restart or a pause of one of the two: attached anew, there or elsewhere.
+                let again = self.up.again(now, from, &mut self.rng);
+                self.unattached();
+                self.step(now, again);
+            }
+            Message::Refused => {
+                let step = self.up.failed(now, from, true, &mut self.rng);
+                self.step(now, step);
+            }
+            Message::Leave => {
+                if let Some(child) = self.spread.remove(from) {
+                    self.gone.back(&child.about.name);
+                    self.sum_soon();
+                } else if parent {
+                    self.parent_lost(now, from, false);
+                }
+            }
+            Message::Beat(newest) | Message::Checked(newest) if parent || peer => {
+                self.word(now, from, newest);
+            }
+            Message::Checked(newest) => self.hear_checked(now, from, newest),
+            Message::Beat(_) | Message::Changes(_) if self.role == Role::Listener && !parent => {
+                self.not_mine(from)
+            }
+            Message::Changes(changes) => self.hear_changes(now, from, changes),
+            Message::Near { relays, sources }
+                if parent && relays.len() <= LIST_MOST && sources.len() <= LIST_MOST =>
+            {
+                self.up.told_near(relays, &sources, self.about.address);
+                self.tell_near(now);
+            }
+            Message::Ask(newest) if self.may_ask(from) => self.answer(now, from, newest),
+            Message::AskPart { version, after } if self.may_ask(from) => {
+                let after = after.filter(|_| version == self.content.version());
+                if after.as_ref().is_none_or(|after| after.len() <= NAME_MOST) {
+                    self.send_part(from, after);
+                }
+            }
+            Message::Part { version, digest, after, entries, last } => {
+                self.hear_part(now, from, (version, digest), after, entries, last);
+            }
+            Message::Sum(sum) => self.hear_sum(now, from, sum),
+            Message::Check if self.feeds() => {
+                let newest = self.newest(now);
+                self.send(from, Message::Checked(newest));
+            }
+            Message::Relays { about, relays } if peer => {
+                let bounded =
+                    relays.iter().all(|relay| relay.zone.len().max(relay.region.len()) <= NAME_MOST);
+                if bounded && relays.len() <= PLACES_MOST && about.is_bounded() {
+                    self.spread.told_relays(now, from, about, relays);
+                }
+            }
+            _ => {}
+        }
+        self.flush(now);
+        self.catch_up(now);
     }
     /// Nothing can be sent to this address, or its link ended.
-    pub fn lost(&mut self, _now: f64, _address: SocketAddr) {
-        todo!()
+    pub fn lost(&mut self, now: f64, address: SocketAddr) {
+        self.wake(now);
+        if let Some(child) = self.spread.remove(address) {
+            self.child_gone(now, child);
+        }
+        if let Some(peer) = self.spread.peer(address) {
+            peer.newest = None;
+        }
+        if self.pull.as_ref().is_some_and(|pull| pull.from == address) {
+            self.pull = None;
+        }
+        if self.up.parent() == Some(address) {
+            self.parent_lost(now, address, false);
+        } else {
+            let step = self.up.failed(now, address, false, &mut self.rng);
+            self.step(now, step);
+        }
+        self.catch_up(now);
+    }
+    /// It ends on purpose: parent and children are told, so that nobody waits for its silence.
+    pub fn leave(&mut self) {
+        let to = self.spread.children.drain(..).map(|child| child.address);
+        let to: Vec<SocketAddr> = to.chain(self.up.parent()).collect();
+        for to in to {
+            self.send(to, Message::Leave);
+        }
     }
     /// Of a source: makes of edits the change that would come next, checked whole against what is in force.
     ///
     /// Errors: one line that names the edit, the figure, the number or the size that can't be.
     pub fn prepare(
         &self,
-        _edits: Vec<Edit>,
-        _after: Option<u64>,
-        _era: u64,
-        _unix_ms: u64,
+        edits: Vec<Edit>,
+        after: Option<u64>,
+        era: u64,
+        unix_ms: u64,
     ) -> Result<Numbered, String> {
-        todo!()
+        let before = self.content.version();
+        if self.role != Role::Source {
+            return Err(format!(
+                "{} is no source; propose to one of the machines set aside",
+                self.about.name
+            ));
+        }
+        if let Some(after) = after.filter(|after| *after != before.number) {
+            let newest = before.number;
+            return Err(format!(
+                "after {after}: the newest number is {newest}; look at it, then propose after {newest}"
+            ));
+        }
+        if let Some(child) = self.spread.children.iter().find(|child| child.sum.version > before) {
+            let (name, newer) = (&child.about.name, child.sum.version);
+            return Err(format!(
+                "{name} has {newer} in force, {before} is the newest here; propose when that came here"
+            ));
+        }
+        let digest = self.content.check(&edits)?;
+        let number = before.number + 1;
+        let version = Version { era: era.max(before.era), number };
+        Ok(Numbered { version, before, digest, edits, proposed_ms: unix_ms })
     }
     /// Of a source: the council has decided this.
-    pub fn agreed(&mut self, _now: f64, _change: Numbered) {
-        todo!()
+    pub fn agreed(&mut self, now: f64, change: Numbered) {
+        self.wake(now);
+        let held = self.content.version();
+        if change.version <= held {
+            self.held_already(&change);
+            return;
+        }
+        if let Err(unfit) = self.apply(now, change.clone()) {
+            self.note(format!("change {} was agreed, {held} is in force here: it {unfit}", change.version));
+            let others: Vec<SocketAddr> = self.spread.peers.iter().map(|peer| peer.address).collect();
+            for other in others {
+                self.send(other, Message::Check);
+            }
+        }
+        self.flush(now);
     }
-    pub fn status(&self, _now: f64) -> Status {
-        todo!()
+    pub fn status(&self, now: f64) -> Status {
+        let sum = self.sum();
+        Status {
+            name: self.about.name.clone(),
+            version: self.content.version(),
+            digest: self.content.digest(),
+            tenants: self.content.len() as u64,
+            age_ms: match self.role {
+                Role::Source => Some(0.0),
+                Role::Listener => self.word_at.map(|at| (now - at).max(0.0)),
+            },
+            parent: self.up.parent(),
+            spare: self.up.spare(),
+            children: self.spread.children.len() as u64,
+            under: sum.under.into(),
+            in_force: sum.in_force.into(),
+            oldest: sum.oldest,
+            missing: sum.missing,
+        }
     }
     /// The last changes that are kept, oldest first.
     pub fn history(&self) -> Vec<Numbered> {
-        todo!()
+        self.history.iter().cloned().collect()
+    }
+
+    fn feeds(&self) -> bool {
+        self.role == Role::Source || self.up.relay
+    }
+    fn newest(&self, now: f64) -> Newest {
+        let age = match (self.role, self.word_at) {
+            (Role::Source, _) => 0.0,
+            (Role::Listener, Some(at)) => (now - at).max(0.0),
+            (Role::Listener, None) => f64::INFINITY,
+        };
+        let digest = self.content.digest() as u64;
+        Newest { version: self.content.version(), digest, age_ms: age as u32 }
+    }
+    fn sum(&self) -> Sum {
+        let own = Some(&*self.about.name).filter(|_| self.role == Role::Listener);
+        sums::sum(own, self.content.version(), &self.spread.children, &self.gone)
+    }
+    fn send(&mut self, to: SocketAddr, message: Message) {
+        self.out.send.push((to, message));
+    }
+    fn note(&mut self, note: String) {
+        self.out.events.push(Event::Note(note));
+    }
+    fn sum_soon(&mut self) {
+        self.due.sum = self.due.sum.min(self.due.sum_least);
+    }
+    /// Guards against taking others for silent when it is this process that was stopped.
+    fn wake(&mut self, now: f64) {
+        let stopped = now - self.called_at;
+        if stopped > self.terms.stopped_ms {
+            for child in &mut self.spread.children {
+                child.heard_at += stopped;
+            }
+            if let State::Attached { heard_at, .. } = &mut self.up.state {
+                *heard_at = heard_at.max(now - self.silent_ms / 2.0);
+            }
+        }
+        self.called_at = self.called_at.max(now);
+    }
+
+    fn tick_children(&mut self, now: f64) {
+        for child in self.spread.silent(now, &self.terms) {
+            self.child_gone(now, child);
+        }
+    }
+    fn child_gone(&mut self, now: f64, child: Child) {
+        self.gone.add(now, child.about.name);
+        self.sum_soon();
+    }
+    fn tick_source(&mut self, now: f64) {
+        if now < self.due.near {
+            return;
+        }
+        self.due.near = now + self.terms.near_ms;
+        let relays = self.spread.places();
+        let peers: Vec<SocketAddr> = self.spread.peers.iter().map(|peer| peer.address).collect();
+        for peer in peers {
+            let about = self.about.clone();
+            self.send(peer, Message::Relays { about, relays: relays.clone() });
+        }
+        self.tell_near(now);
+    }
+    /// Children that were told of others before are told when that changes.
+    fn tell_near(&mut self, now: f64) {
+        let mut told = Vec::new();
+        for (at, child) in self.spread.children.iter().enumerate() {
+            let near = match self.role {
+                Role::Source => self.spread.near(now, child, &self.terms),
+                Role::Listener => spread::rotated(&self.up.near, child, at),
+            };
+            if near != child.near {
+                told.push((child.address, child.about.region.clone(), near));
+            }
+        }
+        for (address, region, near) in told {
+            let sources = self.spread.sources(self.about.address, &self.about, &region);
+            let sources = if self.role == Role::Source { sources } else { self.up.sources().to_vec() };
+            if let Some(child) = self.spread.child(address) {
+                child.near = near.clone();
+            }
+            self.send(address, Message::Near { relays: near, sources });
+        }
+    }
+    fn tick_listener(&mut self, now: f64) {
+        let silent = self.up.parent().filter(|_| now >= self.up.next_at(self.silent_ms));
+        if let Some(parent) = silent {
+            self.parent_lost(now, parent, true);
+        } else {
+            let step = self.up.tick(now, self.silent_ms, &mut self.rng);
+            self.step(now, step);
+        }
+        let Some(parent) = self.up.parent() else { return };
+        if now >= self.due.sum {
+            self.due.sum = now + self.terms.sum_ms;
+            self.due.sum_least = now + self.terms.sum_least_ms;
+            let sum = self.sum();
+            self.send(parent, Message::Sum(sum));
+        }
+        if now >= self.due.check {
+            self.due.check =
+                now + if self.up.relay { self.terms.relay_check_ms } else { self.terms.spare_check_ms };
+            if let Some(spare) = self.up.spare() {
+                self.send(spare, Message::Check);
+            }
+        }
+        let stale = self.word_at.is_none_or(|at| now - at > self.terms.stale_ms);
+        if stale {
+            self.due.check = self.due.check.min(now + 1000.0);
+        }
+        if !self.up.relay || !self.spread.children.is_empty() {
+            self.idle_since = now;
+        } else if now - self.idle_since > self.terms.leaf_again_ms {
+            self.idle_since = now;
+            self.send(parent, Message::Leave);
+            self.up.relay = false;
+            let step = self.up.seek(now, None);
+            self.unattached();
+            self.step(now, step);
+        }
+    }
+    fn parent_lost(&mut self, now: f64, parent: SocketAddr, silent: bool) {
+        if broken::is(Broken::SpareNeverUsed) && silent {
+            self.up.heard(now);
+            return;
+        }
+        if broken::is(Broken::CutOffForgets) {
+            self.content = Content::default();
+            self.history.clear();
+        }
+        if silent {
+            self.send(parent, Message::Leave);
+        }
+        let step = self.up.failed(now, parent, false, &mut self.rng);
+        self.unattached();
+        self.step(now, step);
+    }
+    fn unattached(&mut self) {
+        self.pull = None;
+        self.pull_failed = 0;
+        self.parent_newest = None;
+        self.behind = None;
+    }
+    fn step(&mut self, now: f64, step: Option<Step>) {
+        match step {
+            Some(Step::Seek { source, sent_on }) => {
+                let avoid = self.up.avoid.clone();
+                self.send(source, Message::Seek { about: self.about.clone(), avoid, sent_on });
+            }
+            Some(Step::Attach { to, over }) => {
+                let newest = self.newest(now);
+                let about = self.about.clone();
+                self.send(to, Message::Attach { about, newest, relay: self.up.relay, over });
+            }
+            Some(Step::StepDown) => {
+                self.up.relay = false;
+                let children: Vec<SocketAddr> =
+                    self.spread.children.drain(..).map(|child| child.address).collect();
+                for child in children {
+                    self.send(child, Message::Leave);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn hear_seek(&mut self, now: f64, from: SocketAddr, about: &About, avoid: &[SocketAddr], sent_on: bool) {
+        if self.role != Role::Source {
+            self.send(from, Message::Refused);
+            return;
+        }
+        if about.is_bounded() && avoid.len() <= LIST_MOST {
+            let ways = self.spread.ways(now, &self.about, from, about, avoid, sent_on, &self.terms);
+            self.send(from, ways);
+        }
+    }
+    fn hear_ways(
+        &mut self,
+        now: f64,
+        from: SocketAddr,
+        relays: Vec<SocketAddr>,
+        relay: bool,
+        over: bool,
+        ask: Option<SocketAddr>,
+    ) {
+        let State::Seeking { source, sent_on, .. } = self.up.state else { return };
+        if source != from || relays.len() > LIST_MOST {
+            return;
+        }
+        let own = self.about.address;
+        let step = if relay {
+            self.up.relay = true;
+            self.idle_since = now;
+            self.up.attach(now, vec![from], false, &mut self.rng)
+        } else if let Some(ask) = ask.filter(|ask| !sent_on && self.up.is_source(*ask)) {
+            self.up.seek(now, Some(ask))
+        } else {
+            let relays = relays.into_iter().filter(|at| *at != own && !self.up.is_source(*at)).collect();
+            self.up.attach(now, relays, over, &mut self.rng)
+        };
+        self.step(now, step);
+    }
+    fn hear_attach(
+        &mut self,
+        now: f64,
+        from: SocketAddr,
+        about: About,
+        newest: Newest,
+        relay: bool,
+        over: bool,
+    ) {
+        let source = self.role == Role::Source;
+        let known = self.spread.children.iter().any(|child| child.address == from);
+        let most = match (source, over) {
+            (true, false) => self.terms.source_fan_out,
+            (true, true) => self.terms.source_failover_fan_out,
+            (false, false) => self.terms.fan_out,
+            (false, true) => self.terms.failover_fan_out,
+        };
+        // Sources feed relays and relays feed leaves; anything else could come to a circle.
+        let fits = self.feeds() && source == relay && self.up.parent() != Some(from);
+        let room = known || self.spread.children.len() < most;
+        if !fits || !room || !about.is_bounded() {
+            self.send(from, Message::Refused);
+            return;
+        }
+        self.gone.back(&about.name);
+        self.spread.add(now, from, about, newest, self.content.version());
+        let own = self.newest(now);
+        self.send(from, Message::Attached(own));
+        self.tell_near(now);
+        self.sum_soon();
+    }
+    fn hear_attached(&mut self, now: f64, from: SocketAddr, newest: Newest) {
+        match self.up.state {
+            State::Attaching { to, .. } if to == from => {
+                self.up.attached(now, from);
+                self.unattached();
+                self.due.sum = now;
+                self.due.check = now + self.rng.random_range(0.5..1.0) * self.terms.relay_check_ms;
+                self.word(now, from, newest);
+            }
+            _ => self.not_mine(from),
+        }
+    }
+    /// Feeds this process, which hears from another by now.
+    fn not_mine(&mut self, from: SocketAddr) {
+        let going = matches!(self.up.state, State::Attaching { to, .. } if to == from);
+        if !going && self.up.parent() != Some(from) && self.role == Role::Listener {
+            self.send(from, Message::Leave);
+        }
+    }
+    /// What a parent, or another source, has.
+    fn word(&mut self, now: f64, from: SocketAddr, newest: Newest) {
+        if let Some(peer) = self.spread.peer(from) {
+            peer.newest = Some(newest);
+            peer.heard_at = now;
+            return;
+        }
+        if self.up.parent() != Some(from) {
+            return;
+        }
+        self.up.heard(now);
+        if newest.age_ms < u32::MAX {
+            let at = now - f64::from(newest.age_ms);
+            self.word_at = Some(self.word_at.map_or(at, |held| held.max(at)));
+        }
+        self.parent_newest = Some(newest);
+    }
+    fn hear_checked(&mut self, now: f64, from: SocketAddr, newest: Newest) {
+        let Some(parent) = self.up.parent().filter(|_| self.up.spare() == Some(from)) else { return };
+        let own = self.newest(now);
+        let fresher = f64::from(own.age_ms) > self.terms.stale_ms
+            && f64::from(newest.age_ms) + self.terms.beat_ms < f64::from(own.age_ms);
+        let left_behind = self.behind.is_some_and(|behind| behind > own.version) && self.pull.is_none();
+        if fresher || left_behind {
+            self.send(parent, Message::Leave);
+            self.parent_lost(now, parent, false);
+        } else if newest.version > own.version {
+            self.behind = Some(newest.version);
+            self.due.check = self.due.check.min(now + 1000.0);
+        } else {
+            self.behind = None;
+        }
+    }
+    fn hear_sum(&mut self, now: f64, from: SocketAddr, mut sum: Sum) {
+        let bounded =
+            sum.missing.len() <= MISSING_MOST && sum.missing.iter().all(|name| name.len() <= NAME_MOST);
+        if !bounded || sum.in_force > sum.under {
+            return;
+        }
+        if self.role == Role::Listener {
+            // Of a relay: its children feed nobody.
+            (sum.under, sum.in_force, sum.feeds) = (1, sum.in_force.min(1), 0);
+        }
+        if self.spread.summed(now, from, sum) {
+            self.sum_soon();
+        } else if !self.spread.peers.iter().any(|peer| peer.address == from) {
+            self.send(from, Message::Refused);
+        }
+    }
+
+    /// Who may be answered with changes: those that are fed from here, other sources, and a source that begins from nothing.
+    fn may_ask(&self, from: SocketAddr) -> bool {
+        let child = self.spread.children.iter().any(|child| child.address == from);
+        child || self.spread.peers.iter().any(|peer| peer.address == from) || self.up.parent() == Some(from)
+    }
+    fn answer(&mut self, now: f64, from: SocketAddr, asked: Newest) {
+        let newest = self.newest(now);
+        if asked.version > newest.version || (asked.version, asked.digest) == (newest.version, newest.digest)
+        {
+            self.send(from, Message::Checked(newest));
+            return;
+        }
+        let Some(after) = self.history.after(asked.version) else {
+            self.send_part(from, None);
+            return;
+        };
+        let mut together = Vec::new();
+        let mut changes = Vec::new();
+        let mut bytes = 0;
+        for change in after {
+            if bytes > 0 && bytes + change.bytes() > PART_BYTES {
+                together.push(std::mem::take(&mut changes));
+                bytes = 0;
+            }
+            bytes += change.bytes();
+            changes.push(change.clone());
+        }
+        together.push(changes);
+        for changes in together {
+            self.send(from, Message::Changes(changes));
+        }
+    }
+    fn send_part(&mut self, to: SocketAddr, after: Option<String>) {
+        let (entries, last) = self.content.part(after.as_deref());
+        let (version, digest) = (self.content.version(), self.content.digest());
+        self.send(to, Message::Part { version, digest, after, entries, last });
+    }
+    /// Who has what is missing here.
+    fn ahead(&self) -> Option<SocketAddr> {
+        let own = self.content.version();
+        let other = |newest: &Newest| {
+            let forked = own == Version::default() && newest.digest != self.content.digest() as u64;
+            newest.version > own || (newest.version == own && forked)
+        };
+        if self.role == Role::Listener {
+            return self.up.parent().filter(|_| self.parent_newest.as_ref().is_some_and(other));
+        }
+        let newer = |newest: &Newest| newest.version > own;
+        let peers = self.spread.peers.iter().filter(|peer| peer.newest.as_ref().is_some_and(newer));
+        let peer = peers.max_by_key(|peer| peer.newest.map(|newest| newest.version));
+        if let Some(peer) = peer {
+            return Some(peer.address);
+        }
+        // A source that begins from nothing, as all others do: a relay may still have what was agreed. Not later, as what a
+        // relay says is no source's word.
+        let nothing = own == Version::default();
+        let children = self.spread.children.iter().filter(|child| nothing && child.sum.version > own);
+        children.max_by_key(|child| child.sum.version).map(|child| child.address)
+    }
+    fn catch_up(&mut self, now: f64) {
+        if let Some(pull) = self.pull.take_if(|pull| now >= pull.until) {
+            self.pull_failed += 1;
+            if let Some(peer) = self.spread.peer(pull.from) {
+                peer.newest = None;
+            }
+            if self.pull_failed >= 3 && self.up.parent() == Some(pull.from) {
+                self.send(pull.from, Message::Leave);
+                self.parent_lost(now, pull.from, false);
+            }
+        }
+        if self.pull.is_some() || now < self.due.pull {
+            return;
+        }
+        if let Some(from) = self.ahead() {
+            let newest = self.newest(now);
+            self.send(from, Message::Ask(newest));
+            self.pull = Some(Pull::new(from, now + self.terms.pull_ms));
+        }
+    }
+    fn hear_changes(&mut self, now: f64, from: SocketAddr, changes: Vec<Numbered>) {
+        let asked = self.pull.as_ref().is_some_and(|pull| pull.from == from);
+        let heard = self.up.parent() == Some(from) || asked || self.spread.peer(from).is_some();
+        if !heard {
+            return;
+        }
+        self.up.heard_from(now, from);
+        for change in changes {
+            let version = change.version;
+            if version <= self.content.version() {
+                self.held_already(&change);
+                continue;
+            }
+            let newest = Newest { version, digest: change.digest as u64, age_ms: u32::MAX };
+            if self.up.parent() == Some(from) {
+                self.parent_newest = Some(newest);
+            }
+            match self.apply(now, change) {
+                Ok(()) => {}
+                Err(Unfit::Gap) => break,
+                Err(unfit) => {
+                    self.note(format!("change {version} from {from}: {unfit}; nothing of it is in force"));
+                    self.ask_whole(now, from);
+                    return;
+                }
+            }
+        }
+        let building = self.pull.as_ref().is_some_and(|pull| pull.building.is_some());
+        if asked && !building {
+            self.pull = None;
+            self.pull_failed = 0;
+        }
+    }
+    /// A version that is in force, or from before: nothing changes, and another content under its number is said.
+    fn held_already(&mut self, change: &Numbered) {
+        let held = match self.content.version() == change.version {
+            true => Some(self.content.digest()),
+            false => self.history.at(change.version).map(|held| held.digest),
+        };
+        if held.is_some_and(|held| held != change.digest) {
+            self.note(format!(
+                "change {} came with another content than is held; it is left out",
+                change.version
+            ));
+        }
+    }
+    fn apply(&mut self, now: f64, change: Numbered) -> Result<(), Unfit> {
+        self.content.apply(&change)?;
+        let (version, edits) = (change.version, change.edits.clone());
+        self.history.push(change);
+        self.out.events.push(Event::InForce { version, edits });
+        self.changed(now);
+        Ok(())
+    }
+    fn changed(&mut self, now: f64) {
+        self.due.flush = Some(self.due.flush_least.max(now));
+        self.sum_soon();
+    }
+    fn ask_whole(&mut self, now: f64, from: SocketAddr) {
+        let own = self.newest(now);
+        self.send(from, Message::AskPart { version: own.version, after: None });
+        self.pull = Some(Pull::new(from, now + self.terms.pull_ms));
+    }
+    fn hear_part(
+        &mut self,
+        now: f64,
+        from: SocketAddr,
+        (version, digest): (Version, u128),
+        after: Option<String>,
+        entries: Vec<(String, f64)>,
+        last: bool,
+    ) {
+        let Some(pull) = self.pull.as_mut().filter(|pull| pull.from == from) else { return };
+        let bytes: usize = entries.iter().map(|(name, _)| name.len() + 10).sum();
+        if bytes > PART_BYTES || (entries.is_empty() && !last) {
+            return;
+        }
+        if after.is_none() {
+            let another = pull.building.as_ref().is_some_and(|building| building.version != version);
+            pull.begun += u32::from(another);
+            if pull.begun > BEGUN_MOST {
+                self.pull = None;
+                self.due.pull = now + self.rng.random_range(0.5..1.0) * self.terms.pull_ms;
+                return;
+            }
+            pull.building = Some(Building::new(version, digest));
+        }
+        let Some(building) = pull.building.as_mut() else { return };
+        if building.version != version || building.digest != digest || building.after() != after.as_deref() {
+            return;
+        }
+        pull.until = now + self.terms.pull_ms;
+        let added = building.add(entries);
+        let next = building.after().map(str::to_string);
+        if let Err(why) = added {
+            self.pull = None;
+            self.due.pull = now + self.terms.pull_ms;
+            self.note(format!("the whole of {version} from {from}: {why}; nothing of it is in force"));
+        } else if !last {
+            self.send(from, Message::AskPart { version, after: next });
+        } else if let Some(building) = self.pull.take().and_then(|pull| pull.building) {
+            match building.finish() {
+                Ok(content) => self.take_whole(now, content),
+                Err(why) => {
+                    self.due.pull = now + self.terms.pull_ms;
+                    self.note(format!("{why}, from {from}; nothing of it is in force"));
+                }
+            }
+        }
+        self.up.heard_from(now, from);
+    }
+    fn take_whole(&mut self, now: f64, content: Content) {
+        let own = self.content.version();
+        let first = own == Version::default() && content.version() == own;
+        if content.version() <= own && !first && !broken::is(Broken::VersionNotCompared) {
+            return;
+        }
+        self.pull_failed = 0;
+        self.content = content;
+        self.history.clear();
+        self.out.events.push(Event::Whole { version: self.content.version() });
+        self.changed(now);
+    }
+    /// Children that were sent less are sent the differences, or a sign to ask for them.
+    fn flush(&mut self, now: f64) {
+        if self.due.flush.is_none_or(|at| now < at) {
+            return;
+        }
+        self.due.flush = None;
+        self.due.flush_least = now + self.terms.coalesce_ms;
+        let newest = self.newest(now);
+        let version = newest.version;
+        let mut sends = Vec::new();
+        for child in self.spread.children.iter_mut().filter(|child| child.sent != version) {
+            let after = self.history.after(child.sent);
+            let changes: Option<Vec<Numbered>> = after.map(|after| after.cloned().collect());
+            let small = |changes: &Vec<Numbered>| {
+                changes.len() == 1 || changes.iter().map(Numbered::bytes).sum::<usize>() <= PART_BYTES
+            };
+            let message = match changes.filter(small) {
+                Some(changes) => Message::Changes(changes),
+                None => Message::Beat(newest),
+            };
+            sends.push((child.address, message));
+            child.sent = version;
+        }
+        self.out.send.extend(sends);
     }
 }
--- /dev/null
+++ b/crates/plovershelf-changes/src/spread.rs
@@ -0,0 +1,243 @@
+//! What goes to whom: the children that a process feeds, and of a source, whom one that seeks is sent to.
+
+use std::net::SocketAddr;
+
+use crate::content::Version;
+use crate::message::{Message, Newest, Place, Sum, LIST_MOST, PLACES_MOST};
+use crate::node::{About, Terms};
+
+#[derive(Clone, Debug)]
+pub struct Child {
+    pub address: SocketAddr,
+    pub about: About,
+    pub sum: Sum,
+    pub heard_at: f64,
+    /// What it was sent, up to this.
+    pub sent: Version,
+    /// Others that it was told of.
+    pub near: Vec<SocketAddr>,
+    /// Sent to it, of a source, since its last sum.
+    handed: u32,
+}
+
+/// Told to be a relay, not attached yet.
+#[derive(Clone, Debug)]
+struct Promised {
+    place: Place,
+    until: f64,
+}
+
+/// Another source, of a source.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub address: SocketAddr,
+    pub about: Option<About>,
+    pub newest: Option<Newest>,
+    pub heard_at: f64,
+    relays: Vec<Place>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    pub children: Vec<Child>,
+    promised: Vec<Promised>,
+    pub peers: Vec<Peer>,
+}
+
+const PROMISE_MS: f64 = 2000.0;
+/// Others near that a child is told of.
+const NEAR_MOST: usize = 4;
+/// Relays in an answer to one that seeks.
+const WAYS_MOST: usize = 3;
+
+impl Spread {
+    pub fn new(peers: &[SocketAddr]) -> Self {
+        let peer = |address: &SocketAddr| Peer {
+            address: *address,
+            about: None,
+            newest: None,
+            heard_at: f64::MIN,
+            relays: Vec::new(),
+        };
+        Spread { peers: peers.iter().take(LIST_MOST).map(peer).collect(), ..Self::default() }
+    }
+    pub fn child(&mut self, address: SocketAddr) -> Option<&mut Child> {
+        self.children.iter_mut().find(|child| child.address == address)
+    }
+    pub fn peer(&mut self, address: SocketAddr) -> Option<&mut Peer> {
+        self.peers.iter_mut().find(|peer| peer.address == address)
+    }
+    pub fn remove(&mut self, address: SocketAddr) -> Option<Child> {
+        let at = self.children.iter().position(|child| child.address == address)?;
+        Some(self.children.remove(at))
+    }
+    /// Fed from now on; one that was here before, in another life too, in its place.
+    pub fn add(&mut self, now: f64, address: SocketAddr, about: About, newest: Newest, sent: Version) {
+        self.promised.retain(|promised| promised.place.address != address);
+        let before = self.remove(address).filter(|child| child.about.life == about.life);
+        let sum = match before {
+            Some(before) => before.sum,
+            None => Sum {
+                version: newest.version,
+                under: 1,
+                in_force: 1,
+                oldest: newest.version,
+                ..Sum::default()
+            },
+        };
+        self.children.push(Child { address, about, sum, heard_at: now, sent, near: Vec::new(), handed: 0 });
+    }
+    pub fn summed(&mut self, now: f64, address: SocketAddr, sum: Sum) -> bool {
+        let Some(child) = self.child(address) else { return false };
+        child.heard_at = now;
+        child.handed /= 2;
+        child.sum = sum;
+        true
+    }
+    /// Those that fell silent.
+    pub fn silent(&mut self, now: f64, terms: &Terms) -> Vec<Child> {
+        self.promised.retain(|promised| promised.until > now);
+        let silent = |child: &mut Child| now >= child.heard_at + terms.child_silent_ms;
+        self.children.extract_if(.., silent).collect()
+    }
+    pub fn next_silent_at(&self, terms: &Terms) -> f64 {
+        self.children.iter().map(|child| child.heard_at + terms.child_silent_ms).fold(f64::INFINITY, f64::min)
+    }
+    /// Of a source: its own relays, for the others.
+    pub fn places(&self) -> Vec<Place> {
+        self.children.iter().take(PLACES_MOST).map(place).collect()
+    }
+    pub fn told_relays(&mut self, now: f64, from: SocketAddr, about: About, mut relays: Vec<Place>) {
+        let Some(peer) = self.peer(from) else { return };
+        relays.truncate(PLACES_MOST);
+        peer.about = Some(about);
+        peer.heard_at = now;
+        peer.relays = relays;
+    }
+    /// Every relay known here, with how many it feeds or will: its own, those promised, those of other sources.
+    fn relays(&self, now: f64, terms: &Terms) -> Vec<Place> {
+        let own = self.children.iter().map(place);
+        let promised = self.promised.iter().map(|promised| promised.place.clone());
+        let live = self.peers.iter().filter(|peer| peer.heard_at + 3.0 * terms.near_ms > now);
+        own.chain(promised).chain(live.flat_map(|peer| peer.relays.iter().cloned())).collect()
+    }
+    /// Of a source: where one that seeks may go. A relay of its zone that has room, the one with the most of it first; else it
+    /// is to be a relay, as long as there is room here; else a relay of its region, of another, or one over its fan-out.
+    #[allow(clippy::too_many_arguments)]
+    pub fn ways(
+        &mut self,
+        now: f64,
+        own: &About,
+        from: SocketAddr,
+        about: &About,
+        avoid: &[SocketAddr],
+        sent_on: bool,
+        terms: &Terms,
+    ) -> Message {
+        let mut relays = self.relays(now, terms);
+        relays.retain(|relay| relay.address != from && !avoid.contains(&relay.address));
+        let near = |relay: &Place| match (relay.region == about.region, relay.zone == about.zone) {
+            (true, true) => 0,
+            (true, false) => 1,
+            _ => 2,
+        };
+        relays.sort_by_key(|relay| (near(relay), relay.feeds));
+        let room = |relay: &&Place, most: usize| (relay.feeds as usize) < most;
+        let pick = |most: usize, farthest: u8| -> Vec<SocketAddr> {
+            let fit = relays.iter().filter(|relay| room(relay, most) && near(relay) <= farthest);
+            fit.take(WAYS_MOST).map(|relay| relay.address).collect()
+        };
+        let mut found = pick(terms.fan_out, 0);
+        if found.is_empty() {
+            let full = self.children.len() + self.promised.len() >= terms.source_fan_out;
+            let nearer = self.peers.iter().find(|peer| {
+                let there = peer.about.as_ref().is_some_and(|there| there.region == about.region);
+                there && peer.heard_at + 3.0 * terms.near_ms > now
+            });
+            if let Some(peer) = nearer.filter(|_| !sent_on && own.region != about.region) {
+                return Message::Ways {
+                    relays: Vec::new(),
+                    relay: false,
+                    over: false,
+                    ask: Some(peer.address),
+                };
+            }
+            let known = self.children.iter().any(|child| child.address == from);
+            if !full || known {
+                self.promise(now, from, about);
+                return Message::Ways { relays: Vec::new(), relay: true, over: false, ask: None };
+            }
+            found = pick(terms.fan_out, 2);
+        }
+        let over = found.is_empty();
+        if over {
+            found = pick(terms.failover_fan_out, 2);
+        }
+        if let Some(first) = found.first().copied() {
+            self.hand(first);
+        }
+        Message::Ways { relays: found, relay: false, over, ask: None }
+    }
+    fn promise(&mut self, now: f64, from: SocketAddr, about: &About) {
+        self.promised.retain(|promised| promised.place.address != from);
+        let (zone, region) = (about.zone.clone(), about.region.clone());
+        let place = Place { address: from, zone, region, feeds: 0 };
+        self.promised.push(Promised { place, until: now + PROMISE_MS });
+    }
+    /// One was sent there, so that the next is not before its sum tells of it.
+    fn hand(&mut self, to: SocketAddr) {
+        if let Some(child) = self.child(to) {
+            child.handed += 1;
+        }
+        let promised = self.promised.iter_mut().map(|promised| &mut promised.place);
+        let told = self.peers.iter_mut().flat_map(|peer| &mut peer.relays);
+        if let Some(place) = promised.chain(told).find(|place| place.address == to) {
+            place.feeds += 1;
+        }
+    }
+    /// Of a source: relays near this child, of its zone where there are any, so that each has others first than the next.
+    pub fn near(&self, now: f64, child: &Child, terms: &Terms) -> Vec<SocketAddr> {
+        let mut relays = self.relays(now, terms);
+        relays.retain(|relay| relay.address != child.address && relay.region == child.about.region);
+        if relays.iter().any(|relay| relay.zone == child.about.zone) {
+            relays.retain(|relay| relay.zone == child.about.zone);
+        }
+        let mut near: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
+        near.sort();
+        near.dedup();
+        let from = near.partition_point(|address| *address < child.address);
+        let length = near.len().max(1);
+        near.rotate_left(from % length);
+        near.truncate(NEAR_MOST * 2);
+        near
+    }
+    /// Of a source: all sources, those of this region first.
+    pub fn sources(&self, own: SocketAddr, own_about: &About, region: &str) -> Vec<SocketAddr> {
+        let mut all = vec![(own_about.region != region, own)];
+        for peer in &self.peers {
+            let there = peer.about.as_ref().is_some_and(|about| about.region == region);
+            all.push((!there, peer.address));
+        }
+        all.sort_by_key(|(far, _)| *far);
+        all.into_iter().map(|(_, address)| address).collect()
+    }
+}
+
+/// Of a relay: what the child at this place is told, each with another spare first.
+pub fn rotated(near: &[SocketAddr], child: &Child, at: usize) -> Vec<SocketAddr> {
+    let mut near: Vec<SocketAddr> =
+        near.iter().copied().filter(|address| *address != child.address).collect();
+    let length = near.len().max(1);
+    near.rotate_left(at % length);
+    near.truncate(NEAR_MOST);
+    near
+}
+
+fn place(child: &Child) -> Place {
+    Place {
+        address: child.address,
+        zone: child.about.zone.clone(),
+        region: child.about.region.clone(),
+        feeds: child.sum.feeds + child.handed,
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-changes/tests/net/mod.rs
@@ -0,0 +1,365 @@
+//! A small net in simulated time: sources with a council that decides by number, listeners in zones, links that delay, lose,
+//! are cut and end. Each promise is held against the truth after each call of each node.
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+
+use plovershelf_changes::content::{Content, Edit, Numbered, Version};
+use plovershelf_changes::node::{About, Event, Message, Node, Role, Start, Terms};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+pub struct Net {
+    pub now: f64,
+    pub rng: Pcg32,
+    pub slots: Vec<Slot>,
+    pub sources: usize,
+    /// By version, what was agreed.
+    pub truth: BTreeMap<Version, Content>,
+    pub decided: Vec<Numbered>,
+    pub initial: Content,
+    pub terms: Terms,
+    pub delay_ms: (f64, f64),
+    pub loss: f64,
+    /// Pairs of groups that do not reach each other.
+    pub cut: Vec<(usize, usize)>,
+    pub notes: Vec<String>,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+    /// Bytes and messages sent by each since they were last counted.
+    pub bytes: Vec<u64>,
+    pub messages: Vec<u64>,
+    pub count_bytes: bool,
+    /// By version, when each came into force first and last.
+    pub in_force: BTreeMap<Version, (f64, f64)>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    what: HashMap<u64, What>,
+    next: u64,
+    last_at: HashMap<(usize, usize), f64>,
+    lives: u64,
+}
+
+pub struct Slot {
+    pub address: SocketAddr,
+    pub role: Role,
+    pub zone: String,
+    pub region: String,
+    pub group: usize,
+    pub node: Option<Node>,
+    /// Not called until then, as a process that is stopped; what comes waits.
+    pub stopped_until: f64,
+    shadow: Content,
+    shadow_list: BTreeMap<String, f64>,
+    version: Version,
+    timer: f64,
+}
+
+enum What {
+    Timer(usize),
+    Message(usize, usize, Box<Message>),
+    Lost(usize, SocketAddr),
+    Agreed(usize, Box<Numbered>),
+}
+
+impl Net {
+    /// Two regions, two zones in each; sources in both.
+    pub fn new(seed: u64, sources: usize, listeners: usize, zones: usize, terms: Terms) -> Net {
+        let list = (0..30).map(|at| (format!("tenant-{at}"), 10.0 + f64::from(at)));
+        let initial = Content::initial(list).unwrap();
+        let mut net = Net {
+            now: 0.0,
+            rng: Pcg32::seed_from_u64(seed),
+            slots: Vec::new(),
+            sources,
+            truth: BTreeMap::from([(Version::default(), initial.clone())]),
+            decided: Vec::new(),
+            initial,
+            terms,
+            delay_ms: (0.2, 5.0),
+            loss: 0.0,
+            cut: Vec::new(),
+            notes: Vec::new(),
+            broken: Vec::new(),
+            bytes: vec![0; sources + listeners],
+            messages: vec![0; sources + listeners],
+            count_bytes: false,
+            in_force: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            what: HashMap::new(),
+            next: 0,
+            last_at: HashMap::new(),
+            lives: 0,
+        };
+        for at in 0..sources + listeners {
+            let source = at < sources;
+            let zone = if source { at % zones } else { (at - sources) % zones };
+            let region = zone * 2 / zones.max(2);
+            net.slots.push(Slot {
+                address: SocketAddr::from(([127, 0, (at / 250) as u8, (at % 250) as u8 + 1], 4000)),
+                role: if source { Role::Source } else { Role::Listener },
+                zone: format!("zone-{zone}"),
+                region: format!("region-{region}"),
+                group: region,
+                node: None,
+                stopped_until: 0.0,
+                shadow: Content::default(),
+                shadow_list: BTreeMap::new(),
+                version: Version::default(),
+                timer: f64::INFINITY,
+            });
+        }
+        for at in 0..sources + listeners {
+            net.start(at, None);
+        }
+        net
+    }
+    pub fn start(&mut self, at: usize, held: Option<Content>) {
+        self.lives += 1;
+        let held = held.unwrap_or_else(|| self.initial.clone());
+        let sources = self.slots[..self.sources].iter().map(|slot| slot.address).collect();
+        let slot = &mut self.slots[at];
+        slot.version = held.version();
+        slot.shadow_list = held.iter().map(|(name, quota)| (name.to_string(), quota)).collect();
+        let about = About {
+            name: format!("process-{at}"),
+            zone: slot.zone.clone(),
+            region: slot.region.clone(),
+            address: slot.address,
+            life: self.lives,
+        };
+        let seed = self.rng.random();
+        let start = Start { about, role: slot.role, sources, terms: self.terms.clone(), held, seed };
+        slot.node = Some(Node::new(start, self.now));
+        slot.stopped_until = 0.0;
+        self.called(at);
+    }
+    /// Dies; those with a link to it are told, or not, as when a machine goes.
+    pub fn kill(&mut self, at: usize, told: bool) -> Option<Content> {
+        let node = self.slots[at].node.take()?;
+        if told {
+            let address = self.slots[at].address;
+            for other in 0..self.slots.len() {
+                if other != at && self.slots[other].node.is_some() && self.reach(at, other) {
+                    let in_ms = self.delay();
+                    self.push(self.now + in_ms, What::Lost(other, address));
+                }
+            }
+        }
+        Some(node.content().clone())
+    }
+    pub fn node(&self, at: usize) -> &Node {
+        self.slots[at].node.as_ref().unwrap()
+    }
+    pub fn reach(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (self.slots[a].group, self.slots[b].group);
+        !self.cut.iter().any(|cut| *cut == (a, b) || *cut == (b, a))
+    }
+    fn delay(&mut self) -> f64 {
+        self.rng.random_range(self.delay_ms.0..=self.delay_ms.1)
+    }
+    fn push(&mut self, at: f64, what: What) {
+        self.next += 1;
+        self.what.insert(self.next, what);
+        self.queue.push(Reverse(((at * 1000.0).ceil() as u64, self.next)));
+    }
+    /// A change that is proposed at a source and decided, if a majority of the sources is up and within reach of it.
+    pub fn propose(&mut self, at: usize, edits: Vec<Edit>) -> Result<Version, String> {
+        let node = self.slots[at].node.as_ref().ok_or("down")?;
+        let change = node.prepare(edits, None, 1, self.now as u64)?;
+        let up = |other: &usize| self.slots[*other].node.is_some() && self.reach(at, *other);
+        let majority: Vec<usize> = (0..self.sources).filter(up).collect();
+        if 2 * majority.len() <= self.sources {
+            return Err("no majority".to_string());
+        }
+        let newest = self.decided.last().map(|change| change.version).unwrap_or_default();
+        if change.before != newest {
+            return Err("another was first".to_string());
+        }
+        let mut content = self.truth[&change.before].clone();
+        content.apply(&change).unwrap();
+        self.truth.insert(change.version, content);
+        self.decided.push(change.clone());
+        for other in majority {
+            let in_ms = self.delay() * 3.0;
+            self.push(self.now + in_ms, What::Agreed(other, Box::new(change.clone())));
+        }
+        Ok(change.version)
+    }
+    pub fn random_edits(&mut self) -> Vec<Edit> {
+        let newest = self.truth.values().next_back().unwrap().clone();
+        let mut edits: BTreeMap<String, Edit> = BTreeMap::new();
+        for _ in 0..self.rng.random_range(1..4) {
+            let tenant = format!("tenant-{}", self.rng.random_range(0..60));
+            let quota_per_s = f64::from(self.rng.random_range(0..100_000u32));
+            let edit = match newest.quota(&tenant) {
+                None => Edit::Add { tenant: tenant.clone(), quota_per_s },
+                Some(_) if self.rng.random_bool(0.2) => Edit::Remove { tenant: tenant.clone() },
+                Some(_) => Edit::Set { tenant: tenant.clone(), quota_per_s },
+            };
+            edits.insert(tenant, edit);
+        }
+        edits.into_values().collect()
+    }
+    pub fn newest(&self) -> Version {
+        *self.truth.keys().next_back().unwrap()
+    }
+    /// Until then.
+    pub fn run(&mut self, until: f64) {
+        while let Some(Reverse((at, key))) = self.queue.peek().copied() {
+            let at = at as f64 / 1000.0;
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            let Some(what) = self.what.remove(&key) else { continue };
+            self.happen(what);
+        }
+        self.now = until;
+    }
+    fn happen(&mut self, what: What) {
+        let now = self.now;
+        let to = match &what {
+            What::Timer(to) | What::Message(to, ..) | What::Lost(to, _) | What::Agreed(to, _) => *to,
+        };
+        let slot = &mut self.slots[to];
+        if now < slot.stopped_until {
+            let until = slot.stopped_until;
+            self.push(until, what);
+            return;
+        }
+        let Some(node) = &mut slot.node else { return };
+        match what {
+            What::Timer(_) => {
+                if slot.timer > now + 0.001 {
+                    return;
+                }
+                slot.timer = f64::INFINITY;
+                node.tick(now);
+            }
+            What::Message(_, from, message) => {
+                if !self.reach(from, to) {
+                    return;
+                }
+                let address = self.slots[from].address;
+                self.slots[to].node.as_mut().unwrap().hear(now, address, *message);
+            }
+            What::Lost(_, address) => node.lost(now, address),
+            What::Agreed(_, change) => node.agreed(now, *change),
+        }
+        self.called(to);
+    }
+    fn called(&mut self, at: usize) {
+        let slot = &mut self.slots[at];
+        let node = slot.node.as_mut().unwrap();
+        let out = node.take();
+        let next = node.next_at().max(self.now + 1.0);
+        let version = node.content().version();
+        for event in out.events {
+            match event {
+                Event::InForce { version, edits } => {
+                    if version <= slot.version {
+                        self.broken.push(format!("NEVER_BACKWARDS: {at} from {} to {version}", slot.version));
+                    }
+                    for edit in edits {
+                        match edit.quota_per_s() {
+                            Some(quota) => slot.shadow_list.insert(edit.tenant().to_string(), quota),
+                            None => slot.shadow_list.remove(edit.tenant()),
+                        };
+                    }
+                    slot.version = version;
+                    let seen = self.in_force.entry(version).or_insert((self.now, self.now));
+                    seen.1 = self.now;
+                }
+                Event::Whole { version } => {
+                    if version < slot.version {
+                        self.broken.push(format!("NEVER_BACKWARDS: {at} from {} to {version}", slot.version));
+                    }
+                    slot.version = version;
+                    slot.shadow_list =
+                        node.content().iter().map(|(name, quota)| (name.to_string(), quota)).collect();
+                }
+                Event::Note(note) => self.notes.push(format!("{at}: {note}")),
+            }
+        }
+        if version != slot.version {
+            self.broken.push(format!("CUT_OFF_SERVES_ON: {at} has {version} without a word of it"));
+        }
+        match self.truth.get(&version) {
+            None => self.broken.push(format!("ONE_CONTENT_A_NUMBER: {at} has {version}, never agreed")),
+            Some(truth) if truth.digest() != node.content().digest() => {
+                self.broken.push(format!("ONE_CONTENT_A_NUMBER: {at} has another content of {version}"));
+            }
+            Some(truth) => {
+                let same = truth.len() == slot.shadow_list.len()
+                    && truth.iter().zip(&slot.shadow_list).all(|(a, b)| a == (&**b.0, *b.1));
+                if !same {
+                    self.broken
+                        .push(format!("BAD_CHANGES_NOTHING: {at}, {version}: its events tell another"));
+                }
+            }
+        }
+        if next < slot.timer {
+            slot.timer = next;
+            self.push(next, What::Timer(at));
+        }
+        for (to, message) in out.send {
+            if self.count_bytes {
+                self.bytes[at] += postcard::to_stdvec(&message).unwrap().len() as u64;
+                self.messages[at] += 1;
+            }
+            let Some(to) = self.slots.iter().position(|slot| slot.address == to) else { continue };
+            if !self.reach(at, to) || (self.loss > 0.0 && self.rng.random_bool(self.loss)) {
+                continue;
+            }
+            let from = self.slots[at].address;
+            if self.slots[to].node.is_none() {
+                // Nobody listens there any more.
+                if self.rng.random_bool(0.5) {
+                    let in_ms = self.delay();
+                    self.push(self.now + in_ms, What::Lost(at, self.slots[to].address));
+                }
+                continue;
+            }
+            let _ = from;
+            let arrives = self.now + self.delay();
+            let last = self.last_at.get(&(at, to)).copied().unwrap_or(0.0);
+            let arrives = arrives.max(last + 0.001);
+            self.last_at.insert((at, to), arrives);
+            self.push(arrives, What::Message(to, at, Box::new(message)));
+        }
+    }
+    /// Those up that have not the newest in force.
+    pub fn behind(&self) -> Vec<usize> {
+        let newest = self.newest();
+        let late = |slot: &Slot| slot.node.as_ref().is_some_and(|node| node.content().version() != newest);
+        (0..self.slots.len()).filter(|at| late(&self.slots[*at])).collect()
+    }
+    pub fn check(&self) {
+        assert!(self.broken.is_empty(), "{} broken, first: {:?}", self.broken.len(), &self.broken[..1]);
+    }
+    /// One line each, to look at.
+    pub fn show(&self) -> String {
+        let mut lines = String::new();
+        for slot in &self.slots {
+            let Some(node) = &slot.node else { continue };
+            let status = node.status(self.now);
+            lines += &format!(
+                "{} {} {} parent {:?} spare {:?} children {} under {} in force {} age {:?} relay {}\n",
+                status.name,
+                slot.zone,
+                status.version,
+                status.parent,
+                status.spare,
+                status.children,
+                status.under,
+                status.in_force,
+                status.age_ms,
+                node.is_relay()
+            );
+        }
+        lines
+    }
+}
