Model: three ways to carry numbered changes, eighteen shapes, held to the promises

The mechanism was to be weighed against others before it is trusted at 900. A frame with simulated processes, links, troubles and accounts of bytes plays the leader to all, gossip with exchange, and the very node on the same changes and troubles; times count from when a listener is reachable, and whoever never has the newest is missed.

--- /dev/null
+++ b/crates/plovershelf-model/examples/changes.rs
@@ -0,0 +1,41 @@
+//! One way to carry changes, shape by shape: `changes [tree|direct|gossip] [LISTENERS] [SEED] [SHAPE...]`; no shape is all of them.
+
+use plovershelf_model::changes::direct::Direct;
+use plovershelf_model::changes::gossip::Gossip;
+use plovershelf_model::changes::shapes::{Shape, SHAPES};
+use plovershelf_model::changes::tree::Tree;
+use plovershelf_model::changes::{run, Came};
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let way = args.first().map_or("tree", String::as_str);
+    let number = |place: usize, default: u64| -> u64 {
+        args.get(place).map_or(default, |text| text.parse().unwrap_or(default))
+    };
+    let wanted = args.get(3..).unwrap_or_default();
+    for name in SHAPES.iter().filter(|name| wanted.is_empty() || wanted.iter().any(|w| w == *name)) {
+        let begun = std::time::Instant::now();
+        let shape = Shape::of(name, number(1, 900) as usize, number(2, 1));
+        let came: Came = match way {
+            "direct" => run::<Direct>(&shape, None),
+            "gossip" => run::<Gossip<300>>(&shape, None),
+            _ => run::<Tree>(&shape, None),
+        };
+        println!(
+            "{name:14} {:5.1} s, {} events, agreed {}+{}, in force {:?} 99th {:?} worst {:.0} ms, late {}, missed {} of {}, counted {} {}, broken {:?}",
+            begun.elapsed().as_secs_f64(), came.events, came.agreed, came.not_agreed, came.in_force_ms.count(),
+            came.in_force_at(0.99), came.in_force_ms.most(), came.late, came.missed, came.reachable, came.counted,
+            came.counted_in_force, came.broken_count,
+        );
+        let s = came.spent;
+        println!(
+            "    bytes a second: listener {:.0?} relay {:.0?} source {:.0?}; messages {}, peers {}, children {} {}, depth {}",
+            [s.listeners.mean, s.listeners.most, s.listeners.second].map(Option::unwrap_or_default),
+            [s.relays.mean, s.relays.most, s.relays.second].map(Option::unwrap_or_default),
+            [s.sources.mean, s.sources.most, s.sources.second].map(Option::unwrap_or_default),
+            s.messages_second, s.peers_second, s.children_of_source, s.children_of_listener, s.depth
+        );
+        came.broken.iter().take(4).for_each(|b| println!("    {b:?}"));
+        came.seen.iter().take(4).for_each(|line| println!("    {line}"));
+    }
+}
--- /dev/null
+++ b/crates/plovershelf-model/src/changes/tree.rs
@@ -0,0 +1,143 @@
+//! The mechanism: the very state machines that serve, each at an address that stands for its place.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use plovershelf_changes::content::{Content, Edit, Numbered, Version};
+use plovershelf_changes::node::{self, About, Event, Message, Node, Role, Terms};
+
+use super::shapes::{region_of, zone_of, SOURCES};
+use super::{Hands, Start, Way, ERA};
+
+const FIRST: u32 = 0x0a00_0000;
+const PORT: u16 = 7400;
+/// Of so many listeners one is followed by its events alone.
+const FOLLOWED: usize = 97;
+
+pub fn address(place: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from_bits(FIRST + place as u32), PORT))
+}
+
+/// An address that is nobody's becomes a place that nobody has.
+fn place_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(of) => of.ip().to_bits().wrapping_sub(FIRST) as usize,
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
+
+pub struct Tree {
+    node: Node,
+    /// What events alone make of the content, on a few.
+    followed: Option<BTreeMap<String, f64>>,
+}
+
+impl Way for Tree {
+    type Message = Message;
+    type Kept = Content;
+    const LINKS: bool = true;
+
+    fn start(start: Start<'_, Content>, now: f64) -> Self {
+        let place = start.place;
+        let source = place < SOURCES;
+        let about = About {
+            name: if source { format!("s{}", place + 1) } else { format!("n{}", place + 1 - SOURCES) },
+            zone: format!("z{}", zone_of(place) + 1),
+            region: format!("r{}", region_of(place) + 1),
+            address: address(place),
+            life: start.seed,
+        };
+        let held = start.kept.unwrap_or_else(|| start.ground.content.clone());
+        let followed = (place % FOLLOWED == SOURCES).then(|| listed(&held));
+        let node = Node::new(
+            node::Start {
+                about,
+                role: if source { Role::Source } else { Role::Listener },
+                sources: (0..SOURCES).filter(|other| *other != place).map(address).collect(),
+                terms: Terms::default(),
+                held,
+                seed: start.seed,
+            },
+            now,
+        );
+        Tree { node, followed }
+    }
+
+    fn next_at(&self) -> f64 {
+        self.node.next_at()
+    }
+    fn tick(&mut self, now: f64) {
+        self.node.tick(now);
+    }
+    fn hear(&mut self, now: f64, from: usize, message: Message) {
+        self.node.hear(now, address(from), message);
+    }
+    fn lost(&mut self, now: f64, place: usize) {
+        self.node.lost(now, address(place));
+    }
+
+    fn prepare(&mut self, edits: Vec<Edit>, newest: Version, unix_ms: u64) -> Result<Numbered, String> {
+        self.node.prepare(edits, Some(newest.number), ERA, unix_ms)
+    }
+
+    fn agreed(&mut self, now: f64, change: &Rc<Numbered>) {
+        self.node.agreed(now, (**change).clone());
+    }
+
+    fn take(&mut self, send: &mut Vec<(usize, Message)>) {
+        let out = self.node.take();
+        send.extend(out.send.into_iter().map(|(to, message)| (place_of(to), message)));
+        let Some(followed) = &mut self.followed else { return };
+        for event in out.events {
+            match event {
+                Event::InForce { edits, .. } => {
+                    for edit in edits {
+                        match edit.quota_per_s() {
+                            Some(quota) => drop(followed.insert(edit.tenant().into(), quota)),
+                            None => drop(followed.remove(edit.tenant())),
+                        }
+                    }
+                }
+                Event::Whole { .. } => *followed = listed(self.node.content()),
+                Event::Note(_) => {}
+            }
+        }
+    }
+
+    fn beside(_message: &Message) -> usize {
+        0
+    }
+    fn version(&self) -> Version {
+        self.node.content().version()
+    }
+    fn digest(&self) -> Option<u128> {
+        Some(self.node.content().digest())
+    }
+
+    fn differs(&self, from: &BTreeMap<String, f64>) -> bool {
+        let content = self.node.content();
+        let same = content.len() == from.len()
+            && content.iter().zip(from).all(|(held, told)| held.0 == told.0 && held.1 == *told.1);
+        !same || self.followed.as_ref().is_some_and(|followed| followed != from)
+    }
+
+    fn hands(&self, now: f64) -> Hands {
+        let status = self.node.status(now);
+        Hands {
+            children: status.children,
+            parent: status.parent.map(place_of),
+            age_ms: status.age_ms,
+            under: status.under,
+            in_force: status.in_force,
+        }
+    }
+
+    fn keep(self) -> Option<Content> {
+        Some(self.node.content().clone())
+    }
+}
+
+fn listed(content: &Content) -> BTreeMap<String, f64> {
+    content.iter().map(|(tenant, quota)| (tenant.to_string(), quota)).collect()
+}
--- a/crates/plovershelf-model/src/lib.rs
+++ b/crates/plovershelf-model/src/lib.rs
@@ -2,6 +2,7 @@
 //! faults that play here and on real processes alike, histories, and the audit that judges both by the same promises.
 
 pub mod audit;
+pub mod changes;
 pub mod copies;
 pub mod group;
 pub mod net;
