Names of tenants and offerings are found by a table, not by a walk

Cause: each arrival walked the names of all tenants (owner/peers.rs), and would those of 3,900 routes. Change: plovershelf_facts::Names keeps the list as it stands and a hash table (hashbrown, keyed at random by the standard library) of places in it; it is never iterated, so its keys decide no order. A name that stands twice has its first place, as before. Tests hold it against the walk: none, one, thousands with some twice, unknown and nearly alike names; they fail where the last place wins.

--- a/crates/plovershelf-facts/benches/lookup.rs
+++ b/crates/plovershelf-facts/benches/lookup.rs
@@ -1,14 +1,15 @@
-//! What it costs to find a tenant's place by its name, with so many tenants. Run with
+//! What it costs to find a tenant's place by its name, with so many tenants: by a walk, and as it is done. Run with
 //! `cargo bench -p plovershelf-facts --bench lookup`.
 
 use std::hint::black_box;
 
 use criterion::{criterion_group, criterion_main, Criterion};
+use plovershelf_facts::Names;
 
 /// Each look-up is of another tenant, so that the mean over all places counts.
 fn lookups(criterion: &mut Criterion) {
     for tenants in [100usize, 1000, 3400, 10_000, 34_000] {
-        let names: Vec<String> = (0..tenants).map(|n| format!("tenant-{n:05}")).collect();
+        let names: Names = (0..tenants).map(|n| format!("tenant-{n:05}")).collect();
         let mut tenant = 0;
         criterion.bench_function(&format!("walk over {tenants} names"), |bench| {
             bench.iter(|| {
@@ -17,6 +18,12 @@
                 black_box(names.iter().position(|known| known == name))
             });
         });
+        criterion.bench_function(&format!("place among {tenants} names"), |bench| {
+            bench.iter(|| {
+                tenant = (tenant + 7919) % tenants;
+                black_box(names.place(black_box(names[tenant].as_str())))
+            });
+        });
     }
 }
 
--- a/crates/plovershelf-facts/src/lib.rs
+++ b/crates/plovershelf-facts/src/lib.rs
@@ -1,5 +1,8 @@
 //! Start facts out of the settings, for every program that hosts backends.
 
+mod names;
+
+pub use names::Names;
 use plovershelf::interface::{AdviceMeaning, Gauges, Halting, OfferingTerms, Repeats, StartFacts};
 use serde_json::Value;
 
@@ -7,8 +10,8 @@
 pub struct Start {
     pub facts: StartFacts,
     /// In the order of the facts' offerings and tenants.
-    pub offerings: Vec<String>,
-    pub tenants: Vec<String>,
+    pub offerings: Names,
+    pub tenants: Names,
     /// The gauges in the order in which their values come.
     pub meters: Vec<String>,
 }
@@ -40,7 +43,7 @@
     value[key].as_array().map_or(&[], Vec::as_slice)
 }
 
-fn names(value: &Value, key: &str) -> Vec<String> {
+fn names(value: &Value, key: &str) -> Names {
     list(value, key).iter().map(|row| row["name"].as_str().unwrap_or("").to_string()).collect()
 }
 
--- a/crates/plovershelf-server/src/owner/peers.rs
+++ b/crates/plovershelf-server/src/owner/peers.rs
@@ -94,9 +94,8 @@
 
     /// An invocation as the module needs it, with the mark by which repeats of it are known.
     pub(super) fn arrival(&self, connection: u64, read: &front::Invocation<'_>) -> Result<Read, Unfit> {
-        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-        let offering = place(&self.start.offerings, read.offering).ok_or("no such class")?;
-        let tenant = match place(&self.start.tenants, read.tenant) {
+        let offering = self.start.offerings.place(read.offering).ok_or("no such class")?;
+        let tenant = match self.start.tenants.place(read.tenant) {
             Some(tenant) => tenant,
             None if self.start.tenants.is_empty() => 0,
             None => return Err("no such tenant".into()),
