The configuration is not kept whole to tell later what changed in it

Cause: launch kept a copy of the document for as long as the program runs, and with it every tenant as a tree. Change: a hash of each part that can't change while it runs; at SIGHUP the parts whose hash differs are named, as before. Tests: each part is named when it changes, alone; a quota, a kind of number, the order and the number of tenants count, the order of keys does not. What is left is the tree while the document is read, which the allocator does not hand back.

--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -2,6 +2,7 @@
 //! the program is told that it was replaced; then only the addresses of its peers change.
 
 use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -23,8 +24,8 @@
     pub pools: Option<Plan>,
     /// The group that it belongs to, where the operator has set one.
     pub group: Option<plovershelf_operator::group::Group>,
-    /// The document itself, to tell later what has changed.
-    pub told: Value,
+    /// What can't change while it runs, to tell later whether it did.
+    pub fixed: Fixed,
 }
 
 /// Where the peers are. All parts that talk to one look here.
@@ -39,6 +40,27 @@
 /// What can't change in a running program.
 const FIXED: [&str; 6] = ["name", "listen", "seed", "stop_ms", "limits", "settings"];
 
+/// A hash of each such part of a document. Guards against keeping the document, which with many tenants takes
+/// more memory than all else.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fixed([u64; FIXED.len()]);
+
+impl Fixed {
+    pub fn of(top: &Value) -> Self {
+        Fixed(FIXED.map(|key| {
+            let mut hasher = DefaultHasher::new();
+            top[key].hash(&mut hasher);
+            hasher.finish()
+        }))
+    }
+
+    /// The parts that another document has otherwise.
+    fn changed(&self, other: &Fixed) -> Vec<&'static str> {
+        let parts = FIXED.into_iter().zip(self.0.iter().zip(&other.0));
+        parts.filter(|(_, (own, other))| own != other).map(|(key, _)| key).collect()
+    }
+}
+
 /// What is wrong with the document, with the file that it stands in.
 pub fn named(wrong: String) -> String {
     let path = std::env::var_os("RELAY_CONFIG").unwrap_or_default();
@@ -90,7 +112,7 @@
 
 impl Peers {
     /// Reads the file again; where it can't be used, all stays as it is.
-    pub fn read_again(&self, before: &Value) {
+    pub fn read_again(&self, before: &Fixed) {
         match read_file().and_then(|top| self.move_to(before, &top)) {
             Ok(()) => tracing::info!("the configuration was read again"),
             Err(error) => tracing::warn!("the new configuration is not used: {error}"),
@@ -109,9 +131,9 @@
 
     /// Takes the addresses of a document that replaced `before`, all of them or none. What else has changed
     /// is named in the log and left.
-    fn move_to(&self, before: &Value, top: &Value) -> Result<(), String> {
+    fn move_to(&self, before: &Fixed, top: &Value) -> Result<(), String> {
         let new = Peers::read(top)?;
-        for key in FIXED.iter().filter(|key| before[**key] != top[**key]) {
+        for key in before.changed(&Fixed::of(top)) {
             tracing::warn!("the new configuration changes {key:?}, which needs a restart");
         }
         self.agent.set(new.agent.get());
@@ -140,7 +162,7 @@
         start: plovershelf_facts::read_value(&top["settings"], seed)?,
         pools: None,
         group: None,
-        told: top.clone(),
+        fixed: Fixed::of(top),
     })
 }
 
--- a/crates/plovershelf-server/src/launch/tests.rs
+++ b/crates/plovershelf-server/src/launch/tests.rs
@@ -8,10 +8,11 @@
 fn a_new_document_moves_all_three_peers_or_none() {
     let before = document("127.0.0.1:1", 2);
     let peers = Peers::read(&before).expect("three addresses");
-    assert!(peers.move_to(&before, &document("nowhere", 9)).is_err());
+    let fixed = Fixed::of(&before);
+    assert!(peers.move_to(&fixed, &document("nowhere", 9)).is_err());
     let ledger = || peers.ledger.get().map(|at| at.port());
     assert_eq!((peers.agent.get().port(), ledger()), (1, Some(2)));
-    peers.move_to(&before, &document("127.0.0.1:7", 8)).expect("three addresses");
+    peers.move_to(&fixed, &document("127.0.0.1:7", 8)).expect("three addresses");
     assert_eq!((peers.agent.get().port(), ledger(), peers.roster.get().port()), (7, Some(8), 3));
 }
 
@@ -34,3 +35,30 @@
         assert!(wrong.is_err_and(|what| what.contains("\"records\"")));
     }
 }
+
+#[test]
+fn what_can_not_change_while_it_runs_is_named_when_it_does() {
+    let with = |key: &str, value: Value| {
+        let mut top = document("127.0.0.1:1", 2);
+        top["settings"] = serde_json::json!({"tenants": [{"name": "a", "quota_per_s": 1}, {"name": "b"}]});
+        top["limits"] = serde_json::json!({"memory_mb": 64, "sockets": 512});
+        top[key] = value;
+        Fixed::of(&top)
+    };
+    let before = with("agent", "127.0.0.1:1".into());
+    for key in FIXED {
+        assert_eq!(before.changed(&with(key, "other".into())), [key]);
+    }
+    let tenants = |rows: Value| with("settings", serde_json::json!({ "tenants": rows }));
+    let same = tenants(serde_json::json!([{"quota_per_s": 1, "name": "a"}, {"name": "b"}]));
+    assert!(before.changed(&same).is_empty());
+    for rows in [
+        serde_json::json!([{"name": "a", "quota_per_s": 2}, {"name": "b"}]),
+        serde_json::json!([{"name": "a", "quota_per_s": 1.5}, {"name": "b"}]),
+        serde_json::json!([{"name": "b"}, {"name": "a", "quota_per_s": 1}]),
+        serde_json::json!([{"name": "a", "quota_per_s": 1}]),
+    ] {
+        assert_eq!(before.changed(&tenants(rows)), ["settings"]);
+    }
+    assert!(before.changed(&with("agent", "127.0.0.1:9".into())).is_empty());
+}
--- a/crates/plovershelf-server/src/lib.rs
+++ b/crates/plovershelf-server/src/lib.rs
@@ -34,7 +34,7 @@
     let told = async {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => launch.peers.read_again(&launch.told),
+                Ok(Signal::Hup) => launch.peers.read_again(&launch.fixed),
                 _ => return Ok(None),
             }
         }
@@ -56,7 +56,7 @@
     let (slots, leaving) = (Rc::new(()), Rc::new(Cell::new(false)));
 
     let (move_agent, agent_moved) = async_channel::bounded(1);
-    let Launch { peers, told, pools, group, .. } = launch;
+    let Launch { peers, fixed, pools, group, .. } = launch;
     let pulse = group.is_some().then(std::sync::Arc::<group::Pulse>::default);
     let (told_by_copies, copies_told) = async_channel::unbounded();
     let with_copies = group.as_ref().is_some_and(|setup| setup.copies.is_some());
@@ -93,7 +93,7 @@
     let obey = async move {
         while let Some(signal) = signals.next().await {
             if matches!(signal, Ok(Signal::Hup)) {
-                peers.read_again(&told);
+                peers.read_again(&fixed);
                 let _ = move_agent.try_send(());
                 match launch::pools(&offerings) {
                     Ok(Some(plan)) => drop(events.send(Event::Pools(plan)).await),
