Changes: whoever hears old word asks others in turn, not only one spare

Two relays that hear no source could be each other's spares: a listener of one asked the other for ever and stayed behind as long as both were deaf. While the word is old it now asks each other that it knows in turn, sources last, and goes to the one that has fresher; where only a source has, it asks that for ways anew, past all that are near.

--- a/crates/plovershelf-changes/src/attach.rs
+++ b/crates/plovershelf-changes/src/attach.rs
@@ -101,6 +101,28 @@
             false => other(&self.near).or_else(|| other(&self.sources)),
         }
     }
+    /// Whom to ask whether a source's word is fresher there, when the parent's is old: the spare, then each other in turn, as
+    /// the spare may hear no source either; at last sources.
+    pub fn other(&self, turn: usize) -> Option<SocketAddr> {
+        let near: &[SocketAddr] = if self.relay { &[] } else { &self.near };
+        let others = near.iter().chain(&self.sources).copied().filter(|at| Some(*at) != self.parent());
+        let others: Vec<SocketAddr> = others.collect();
+        others.get(turn % others.len().max(1)).copied()
+    }
+    /// This one has what the parent has not: a leaf goes there first. Where it is a source, all that are near are as old.
+    pub fn prefer(&mut self, at: SocketAddr) {
+        if self.relay {
+            return;
+        }
+        if self.is_source(at) {
+            let near = std::mem::take(&mut self.near);
+            near.into_iter().for_each(|near| self.avoid(near));
+        } else {
+            self.near.retain(|near| *near != at);
+            self.near.insert(0, at);
+            self.near.truncate(LIST_MOST);
+        }
+    }
     pub fn sources(&self) -> &[SocketAddr] {
         &self.sources
     }
--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -194,7 +194,10 @@
     parent_newest: Option<Newest>,
     /// When a source's word last left it, as far as known here.
     word_at: Option<f64>,
-    /// What the spare had that was not here, when it was asked last.
+    /// Whom it asked last for its newest, and how often in a row as the parent's word was old.
+    asked: Option<SocketAddr>,
+    asked_stale: usize,
+    /// What the one asked had that was not here.
     behind: Option<Version>,
     idle_since: f64,
     due: Due,
@@ -226,6 +229,8 @@
             pull_failed: 0,
             parent_newest: None,
             word_at: None,
+            asked: None,
+            asked_stale: 0,
             behind: None,
             idle_since: now,
             due: Due {
@@ -573,14 +578,16 @@
             let sum = self.sum();
             self.send(parent, Message::Sum(sum));
         }
+        let stale = self.word_at.is_none_or(|at| now - at > self.terms.stale_ms);
         if now >= self.due.check {
             self.due.check =
                 now + if self.up.relay { self.terms.relay_check_ms } else { self.terms.spare_check_ms };
-            if let Some(spare) = self.up.spare() {
-                self.send(spare, Message::Check);
+            self.asked = if stale { self.up.other(self.asked_stale) } else { self.up.spare() };
+            self.asked_stale = if stale { self.asked_stale + 1 } else { 0 };
+            if let Some(asked) = self.asked {
+                self.send(asked, Message::Check);
             }
         }
-        let stale = self.word_at.is_none_or(|at| now - at > self.terms.stale_ms);
         if stale {
             self.due.check = self.due.check.min(now + 1000.0);
         }
@@ -615,6 +622,7 @@
         self.pull = None;
         self.pull_failed = 0;
         self.parent_newest = None;
+        (self.asked, self.asked_stale) = (None, 0);
         self.behind = None;
     }
     fn step(&mut self, now: f64, step: Option<Step>) {
@@ -744,12 +752,13 @@
         self.parent_newest = Some(newest);
     }
     fn hear_checked(&mut self, now: f64, from: SocketAddr, newest: Newest) {
-        let Some(parent) = self.up.parent().filter(|_| self.up.spare() == Some(from)) else { return };
+        let Some(parent) = self.up.parent().filter(|_| self.asked == Some(from)) else { return };
         let own = self.newest(now);
         let fresher = f64::from(own.age_ms) > self.terms.stale_ms
             && f64::from(newest.age_ms) + self.terms.beat_ms < f64::from(own.age_ms);
         let left_behind = self.behind.is_some_and(|behind| behind > own.version) && self.pull.is_none();
         if fresher || left_behind {
+            self.up.prefer(from);
             self.send(parent, Message::Leave);
             self.parent_lost(now, parent, false);
         } else if newest.version > own.version {
