--- a/crates/plovershelf-model/src/changes.rs
+++ b/crates/plovershelf-model/src/changes.rs
@@ -93,6 +93,11 @@
     fn take(&mut self, send: &mut Vec<(usize, Self::Message)>);
     /// Beside what was encoded: bytes that stand for content which is not carried in the model.
     fn beside(message: &Self::Message) -> usize;
+    /// Makes of a message with changes another that must not be taken; of others nothing.
+    fn mangle(_message: &mut Self::Message, _chance: &mut Pcg32) {}
+    fn holds(&self, _tenant: &str) -> bool {
+        false
+    }
     fn version(&self) -> Version;
     /// Where the process has content at all.
     fn digest(&self) -> Option<u128>;
--- a/crates/plovershelf-model/src/changes/shapes.rs
+++ b/crates/plovershelf-model/src/changes/shapes.rs
@@ -79,9 +79,11 @@
     pub steps: Vec<Step>,
     /// Of all messages, this share is lost, and as much comes twice.
     pub loss: f64,
+    /// Of the messages with changes, this share comes with another quota or an edit that does not fit.
+    pub mangled: f64,
 }
 
-pub const SHAPES: [&str; 18] = [
+pub const SHAPES: [&str; 19] = [
     "calm",
     "day",
     "burst",
@@ -100,8 +102,12 @@
     "regions",
     "back",
     "loss",
+    "mangled",
 ];
 
+/// A tenant that no change names but mangled ones.
+pub const NOBODY: &str = "nobody";
+
 pub fn tenant(number: usize) -> String {
     format!("tenant-{number:05}")
 }
@@ -190,8 +196,9 @@
         changes.sort_by(|a, b| a.0.total_cmp(&b.0));
         let steps = steps(name, listeners, from, busy_ms, &mut draw.chance);
         let span_ms = from + busy_ms + QUIET_MS;
-        let loss = if name == "loss" { 0.02 } else { 0.0 };
-        Shape { name, listeners, seed, span_ms, changes, steps, loss }
+        let loss = if matches!(name, "loss" | "mangled") { 0.02 } else { 0.0 };
+        let mangled = if name == "mangled" { 0.01 } else { 0.0 };
+        Shape { name, listeners, seed, span_ms, changes, steps, loss, mangled }
     }
 }
 
--- a/crates/plovershelf-model/src/changes/tree.rs
+++ b/crates/plovershelf-model/src/changes/tree.rs
@@ -7,7 +7,10 @@
 use plovershelf_changes::content::{Content, Edit, Numbered, Version};
 use plovershelf_changes::node::{self, About, Event, Message, Node, Role, Terms};
 
-use super::shapes::{region_of, zone_of, SOURCES};
+use super::shapes::{region_of, zone_of, NOBODY, SOURCES};
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
 use super::{Hands, Start, Way, ERA};
 
 const FIRST: u32 = 0x0a00_0000;
@@ -105,6 +108,20 @@
         }
     }
 
+    fn mangle(message: &mut Message, chance: &mut Pcg32) {
+        let Message::Changes(changes) = message else { return };
+        let Some(change) = changes.last_mut() else { return };
+        if chance.random_bool(0.5) {
+            change.edits.push(Edit::Add { tenant: NOBODY.into(), quota_per_s: -1.0 });
+        } else if let Some(Edit::Set { quota_per_s, .. } | Edit::Add { quota_per_s, .. }) =
+            change.edits.last_mut()
+        {
+            *quota_per_s += 1.0;
+        }
+    }
+    fn holds(&self, tenant: &str) -> bool {
+        self.node.content().quota(tenant).is_some()
+    }
     fn beside(_message: &Message) -> usize {
         0
     }
--- a/crates/plovershelf-model/src/changes/world.rs
+++ b/crates/plovershelf-model/src/changes/world.rs
@@ -8,7 +8,8 @@
 use rand_pcg::Pcg32;
 
 use super::shapes::{
-    quota_at_first, region_of, tenant, Shape, Trouble, Who, QUIET_MS, SOURCES, TENANTS, WARM_MS, ZONES,
+    quota_at_first, region_of, tenant, Shape, Trouble, Who, NOBODY, QUIET_MS, SOURCES, TENANTS, WARM_MS,
+    ZONES,
 };
 use super::told::{spent, Account, Came};
 use super::{
@@ -279,6 +280,11 @@
                     self.came.broken(ONE_CONTENT_A_NUMBER, now, place, told);
                 }
             }
+            if self.shape.mangled > 0.0 && way.holds(NOBODY) {
+                self.came.broken(BAD_CHANGES_NOTHING, now, place, || {
+                    format!("{version} with an edit that does not fit")
+                });
+            }
             while let Some((_, from)) = process.due.pop_front_if(|(due, _)| *due <= version) {
                 if now >= WARM_MS {
                     let after_ms = now - from;
@@ -336,6 +342,10 @@
                 return;
             }
         }
+        let mut message = message;
+        if self.shape.mangled > 0.0 && now >= WARM_MS && self.chance.random_bool(self.shape.mangled) {
+            W::mangle(&mut message, &mut self.chance);
+        }
         let far = if region_of(from) == region_of(to) { 0.0 } else { BETWEEN_REGIONS_MS };
         for way in self.net.ways(from, to, ZONES, bytes) {
             let mut at = leaves + way + far;
@@ -562,7 +572,7 @@
         let Some(edits) = self.waiting.pop_front() else { return };
         let digest = way.digest();
         // One that can't be must change nothing, each time.
-        let bad = vec![Edit::Set { tenant: "nobody".into(), quota_per_s: 1.0 }];
+        let bad = vec![Edit::Set { tenant: NOBODY.into(), quota_per_s: 1.0 }];
         let refused = digest.is_none() || way.prepare(bad, newest, 0).is_err();
         let prepared = way.prepare(edits, newest, now as u64);
         if !refused || way.digest() != digest || way.version() != newest {
