Shell of numbered changes: carrier on sockets, operator's files, control, config

Changes agreed on by the council are to reach backends that are none of its members. Links are generalised from the group's; a carrier holds the node, its links and what an owner is told; a source runs beside the group's keeper.

--- /dev/null
+++ b/crates/plovershelf-cli/src/config.rs
@@ -0,0 +1,261 @@
+//! `plovershelf config`: tenants' quotas as numbered changes: proposed to a source, and where they are in force.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use comfy_table::{presets, Table};
+use plovershelf_changes::content::{Edit, Numbered, Version};
+use plovershelf_group::frames::{decode, plain};
+use plovershelf_group::status::{Answer, Question};
+use plovershelf_server::changes::asks::{Ask, Report, Told, KEY};
+use serde_json::{json, Value};
+
+use crate::group::ask;
+
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    command: Command,
+    /// Who is asked, as `listen` in its section [changes]; for all of the fleet every source.
+    #[arg(long, global = true, value_name = "ADDRESS:PORT")]
+    at: Vec<SocketAddr>,
+    /// The group's name.
+    #[arg(long, global = true, value_name = "NAME", default_value = "fleet")]
+    name: String,
+    /// One JSON object instead of tables.
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Proposes a change to a source, on its machine: [set] and [add] with NAME = quota a second, [remove] with NAME =.
+    Propose {
+        #[arg(long, value_name = "FILE")]
+        file: PathBuf,
+        /// Only if this is the newest number.
+        #[arg(long, value_name = "NUMBER")]
+        after: Option<u64>,
+    },
+    /// The newest change, where it is in force, and who lacks it.
+    Status,
+    /// The last changes.
+    History,
+}
+
+const WITHIN: Duration = Duration::from_secs(10);
+/// Names of those that lack the newest.
+const NAMES_SHOWN: usize = 8;
+const EDITS_SHOWN: usize = 3;
+
+/// Asks one process of its changes.
+///
+/// Errors: it can't be asked, or changes are not carried there, in one line.
+pub async fn ask_changes(at: SocketAddr, group: &str, what: &Ask) -> Result<Told, String> {
+    let question = Question::Part { part: KEY.into(), bytes: plain(what) };
+    match ask(at, group, question, WITHIN).await? {
+        Answer::Part(bytes) => decode(&bytes).map_err(|spoilt| format!("{at}: {spoilt}")),
+        Answer::Refused(why) => Ok(Told::Refused(why)),
+        _ => Err(format!("{at}: answered something else")),
+    }
+}
+
+/// Exit statuses: 0 done, 1 refused or missing somewhere; an error is that nothing could be asked.
+pub fn run(options: &Options) -> Result<u8, String> {
+    let first = *options.at.first().ok_or("--at ADDRESS:PORT says whom to ask")?;
+    match &options.command {
+        Command::Propose { file, after } => {
+            let shown = file.to_string_lossy();
+            let text = std::fs::read_to_string(file).map_err(|error| format!("{shown}: {error}"))?;
+            let edits =
+                plovershelf_operator::changes::edits(&shown, &text).map_err(|wrong| wrong.to_string())?;
+            let told = async_io::block_on(ask_changes(
+                first,
+                &options.name,
+                &Ask::Propose { edits, after: *after },
+            ))?;
+            finish(options, &told)
+        }
+        Command::History => {
+            finish(options, &async_io::block_on(ask_changes(first, &options.name, &Ask::History))?)
+        }
+        Command::Status => status(options),
+    }
+}
+
+fn finish(options: &Options, told: &Told) -> Result<u8, String> {
+    if options.json {
+        let object = match told {
+            Told::Done(what) => json!({"done": what}),
+            Told::Refused(why) => json!({"refused": why}),
+            Told::History(changes) => json!({"changes": changes.iter().map(change).collect::<Vec<Value>>()}),
+            Told::Status(report) => process(report),
+        };
+        println!("{object}");
+        return Ok(u8::from(matches!(told, Told::Refused(_))));
+    }
+    match told {
+        Told::Done(what) => println!("{what}"),
+        Told::History(changes) => println!("{}", history(changes)),
+        Told::Status(report) => println!("{}", process(report)),
+        Told::Refused(why) => {
+            eprintln!("plovershelf: refused: {why}");
+            return Ok(1);
+        }
+    }
+    Ok(0)
+}
+
+/// What several processes say, as one.
+#[derive(Debug, Default, PartialEq)]
+pub struct Summed {
+    pub newest: Version,
+    pub in_force: u64,
+    pub of: u64,
+    pub missing: Vec<String>,
+    /// Two say that they have the newest and have different contents.
+    pub two_contents: bool,
+}
+
+/// Listeners are counted by their sources; where none of those was asked, those that were asked count.
+pub fn summed(reports: &[Report]) -> Summed {
+    let newest = reports.iter().map(|report| report.node.version).max().unwrap_or_default();
+    let mut all = Summed { newest, ..Summed::default() };
+    let sources = reports.iter().any(|report| report.source);
+    for report in reports.iter().filter(|report| report.source || !sources) {
+        let node = &report.node;
+        let has_it = node.version == newest;
+        all.of += node.under;
+        all.in_force += if has_it { node.in_force } else { 0 };
+        if !has_it {
+            all.missing.push(node.name.clone());
+        }
+        all.missing.extend(node.missing.iter().cloned());
+    }
+    all.missing.sort();
+    all.missing.dedup();
+    let digests =
+        reports.iter().filter(|report| report.node.version == newest).map(|report| report.node.digest);
+    let digests: std::collections::BTreeSet<u128> = digests.collect();
+    all.two_contents = digests.len() > 1;
+    all
+}
+
+fn status(options: &Options) -> Result<u8, String> {
+    let (mut reports, mut unreached) = (Vec::new(), Vec::new());
+    for at in &options.at {
+        match async_io::block_on(ask_changes(*at, &options.name, &Ask::Status)) {
+            Ok(Told::Status(report)) => reports.push(*report),
+            Ok(Told::Refused(why)) => unreached.push(format!("{at}: {why}")),
+            Ok(_) => unreached.push(format!("{at}: answered something else")),
+            Err(why) => unreached.push(why),
+        }
+    }
+    if reports.is_empty() {
+        return Err(unreached.join("; "));
+    }
+    let all = summed(&reports);
+    if options.json {
+        let object = json!({
+            "newest": shown(all.newest), "number": all.newest.number, "in_force": all.in_force, "of": all.of,
+            "missing": all.missing, "two_contents": all.two_contents, "unreached": unreached,
+            "processes": reports.iter().map(process).collect::<Vec<Value>>(),
+        });
+        println!("{object}");
+    } else {
+        println!("{}", told(&reports, &all));
+        unreached.iter().for_each(|why| println!("NOT ASKED: {why}"));
+    }
+    let well = all.in_force == all.of && all.missing.is_empty() && unreached.is_empty() && !all.two_contents;
+    Ok(u8::from(!well))
+}
+
+fn shown(version: Version) -> String {
+    version.to_string()
+}
+
+fn process(report: &Report) -> Value {
+    let node = &report.node;
+    json!({
+        "name": node.name, "source": report.source, "version": shown(node.version), "number": node.version.number,
+        "digest": format!("{:032x}", node.digest), "tenants": node.tenants, "age_ms": node.age_ms,
+        "parent": node.parent.map(|at| at.to_string()), "spare": node.spare.map(|at| at.to_string()),
+        "children": node.children, "under": node.under, "in_force": node.in_force, "oldest": shown(node.oldest),
+        "missing": node.missing,
+        "council": report.council.as_ref().map(|council| json!({
+            "number": council.number, "leader": council.leader, "agrees": council.agrees,
+        })),
+    })
+}
+
+fn change(change: &Numbered) -> Value {
+    let edits: Vec<String> = change.edits.iter().map(Edit::to_string).collect();
+    json!({
+        "version": shown(change.version), "number": change.version.number, "before": shown(change.before),
+        "digest": format!("{:032x}", change.digest), "proposed_ms": change.proposed_ms, "edits": edits,
+    })
+}
+
+fn told(reports: &[Report], all: &Summed) -> String {
+    let mut table = Table::new();
+    let head = ["process", "", "number", "digest", "tenants", "age s", "hears from", "spare", "feeds"];
+    table.load_preset(presets::NOTHING).set_header(head);
+    for Report { node, source, .. } in reports {
+        let at = |at: Option<SocketAddr>| at.map_or(String::new(), |at| at.to_string());
+        table.add_row([
+            node.name.clone(),
+            if *source { "source" } else { "listener" }.to_string(),
+            node.version.number.to_string(),
+            format!("{:08x}", node.digest >> 96),
+            node.tenants.to_string(),
+            node.age_ms.map_or("never heard".into(), |age| format!("{:.1}", age / 1000.0)),
+            at(node.parent),
+            at(node.spare),
+            node.children.to_string(),
+        ]);
+    }
+    let mut lines = vec![
+        table.to_string(),
+        format!(
+            "change {} is in force on {} of {} that are heard of",
+            all.newest.number, all.in_force, all.of
+        ),
+    ];
+    if !all.missing.is_empty() {
+        let names: Vec<&str> = all.missing.iter().take(NAMES_SHOWN).map(String::as_str).collect();
+        let more = if all.missing.len() > NAMES_SHOWN { " and more" } else { "" };
+        lines.push(format!("MISSING: {}{more}", names.join(", ")));
+    }
+    if all.two_contents {
+        lines.push("TWO CONTENTS UNDER ONE NUMBER: the digests differ".into());
+    }
+    for Report { node, council, .. } in reports {
+        if let Some(council) = council.as_ref().filter(|council| !council.agrees) {
+            let leader = council.leader.as_deref().unwrap_or("nobody that is known");
+            lines.push(format!("{}: NOTHING NEW IS AGREED ON there now; led by {leader}", node.name));
+        }
+    }
+    lines.join("\n")
+}
+
+fn history(changes: &[Numbered]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(["number", "proposed", "edits"]);
+    let now_ms = std::time::SystemTime::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis() as u64);
+    for change in changes {
+        let edits: Vec<String> = change.edits.iter().take(EDITS_SHOWN).map(Edit::to_string).collect();
+        let more = change.edits.len().saturating_sub(EDITS_SHOWN);
+        let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+        table.add_row([
+            change.version.number.to_string(),
+            format!("{} s ago", now_ms.saturating_sub(change.proposed_ms) / 1000),
+            edits.join(", ") + &more,
+        ]);
+    }
+    table
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -2,6 +2,8 @@
 
 mod audit;
 mod call;
+mod config;
+mod control;
 mod copies;
 mod demo;
 mod group;
@@ -43,14 +45,18 @@
     Copies(copies::Options),
     /// The plan of zones: what stays near, goes where, is cut; and an operator's word on it.
     Zones(zones::Options),
+    /// Tenants' quotas as numbered changes: proposes one, and tells where the newest is in force.
+    Config(config::Options),
+    /// A member of a group without a front, for a machine set aside for control; ends on SIGTERM.
+    Control(control::Options),
     /// Judges a history that a trial left.
     Audit(audit::Options),
     /// Measures a claim on real processes; `plovershelf trial --list` names all.
     Trial(trial::Options),
 }
 
-fn log(format: LogFormat) {
-    let filter = EnvFilter::try_from_env("PLOVERSHELF_LOG").unwrap_or_else(|_| EnvFilter::new("warn"));
+fn log(format: LogFormat, usual: &str) {
+    let filter = EnvFilter::try_from_env("PLOVERSHELF_LOG").unwrap_or_else(|_| EnvFilter::new(usual));
     let lines =
         tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_env_filter(filter);
     match format {
@@ -82,13 +88,17 @@
             return ExitCode::from(2);
         }
     };
-    log(arguments.log_format);
+    // What serves tells what it does; what is asked once only what is wrong.
+    let serves = matches!(arguments.command, Command::Control(_));
+    log(arguments.log_format, if serves { "info" } else { "warn" });
     let done = match arguments.command {
         Command::Demo(options) => demo::run(&options),
         Command::Call(options) => call::run(&options),
         Command::Group(options) => group::run(&options),
         Command::Copies(options) => copies::run(&options),
         Command::Zones(options) => zones::run(&options),
+        Command::Config(options) => config::run(&options),
+        Command::Control(options) => control::run(&options),
         Command::Audit(options) => audit::run(&options),
         Command::Trial(options) => trial::run(&options),
     };
--- a/crates/plovershelf-group/src/frames.rs
+++ b/crates/plovershelf-group/src/frames.rs
@@ -1,6 +1,8 @@
 //! Envelopes to frames and back: length, checksum, version, then the envelope. Nothing is believed before its length and
 //! checksum are.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::council::Id;
@@ -113,4 +115,9 @@
         to: Id,
         bytes: Vec<u8>,
     },
+    /// A message of those that carry changes: its sender is reached at `at`.
+    Carried {
+        at: SocketAddr,
+        bytes: Vec<u8>,
+    },
 }
--- a/crates/plovershelf-operator/src/group.rs
+++ b/crates/plovershelf-operator/src/group.rs
@@ -29,6 +29,8 @@
     pub copies: Option<plovershelf_copies::copies::Terms>,
     /// Zones with a plan of what goes where, where sections tell any.
     pub zones: Option<Zones>,
+    /// Changes that are agreed on here and carried outward, where a section tells of it.
+    pub changes: Option<crate::changes::Source>,
 }
 
 /// The zones that a plan is made for.
@@ -90,14 +92,13 @@
         ways: BTreeMap::new(),
         copies: None,
         zones: None,
+        changes: None,
     };
     let (mut zones, mut ways, mut zone_terms) = (Vec::new(), Vec::new(), planner::Terms::default());
     let mut seen: Vec<&str> = Vec::new();
     for (section, told) in ini.iter() {
         let Some(section) = section else {
-            for (key, _) in told.iter() {
-                reading.say("", &format!("{key} stands before any section; [group] begins one"));
-            }
+            reading.outside(told, "[group]");
             continue;
         };
         if seen.contains(&section) {
@@ -114,6 +115,7 @@
                 reading.check_keys(section, told, &COPIES_KEYS);
                 group.copies = Some(copies(&mut reading, told));
             }
+            crate::changes::SECTION => group.changes = Some(crate::changes::source(&mut reading, told)),
             "ways" => {
                 for (from, to) in told.iter() {
                     match to.trim().parse() {
@@ -142,13 +144,25 @@
             }
             _ => reading.say(
                 section,
-                "is no section here; [group], [ways], [copies], [zones], [zone NAME] and [way ONE OTHER] are",
+                "is no section here; [group], [ways], [copies], [changes], [zones], [zone NAME] and [way ONE OTHER] are",
             ),
         }
     }
     if !seen.contains(&"group") {
         reading.say("group", "is missing");
     }
+    if let Some(changes) = &group.changes {
+        if group.folder.is_none() {
+            let why = "what was agreed on would be lost when all sources start anew";
+            reading.say("group", &format!("folder is missing, and [changes] needs it: {why}"));
+        }
+        if changes.listen == group.listen && changes.listen.port() != 0 {
+            reading.say(
+                "changes",
+                &format!("listen = {}: [group] has it; changes have one of their own", group.listen),
+            );
+        }
+    }
     group.zones = topology(&mut reading, zones, &ways, &group.zone).map(|topology| Zones {
         topology,
         terms: zone_terms,
@@ -230,29 +244,10 @@
         let value = told.get(key).unwrap_or("");
         value.split(',').map(str::trim).filter(|word| !word.is_empty()).map(str::to_string).collect()
     };
-    let word = |reading: &mut Reading<'_>, key: &str, otherwise: Option<&str>| -> String {
-        let value = told.get(key).map(str::trim).or(otherwise).unwrap_or("");
-        if value.is_empty()
-            || value.len() > 64
-            || value.contains(|c: char| c.is_whitespace() || c.is_control() || c == ',')
-        {
-            reading.say(section, &format!("{key} = {value:?}: one word of at most 64 bytes"));
-        }
-        value.to_string()
-    };
-    group.name = word(reading, "name", None);
-    group.zone = word(reading, "zone", Some("zone"));
-    group.region = word(reading, "region", Some("region"));
-    match told.get("listen").unwrap_or("").trim().parse::<SocketAddr>() {
-        Ok(listen) if listen.port() != 0 && !listen.ip().is_unspecified() => group.listen = listen,
-        _ => {
-            let told = told.get("listen").unwrap_or("");
-            reading.say(
-                section,
-                &format!("listen = {told:?}: the ADDRESS:PORT at which others reach this member"),
-            );
-        }
-    }
+    group.name = reading.word(section, told, "name", None);
+    group.zone = reading.word(section, told, "zone", Some("zone"));
+    group.region = reading.word(section, told, "region", Some("region"));
+    group.listen = reading.reached_at(section, told, "listen");
     for seed in words("seeds") {
         match seed.parse() {
             Ok(seed) => group.seeds.push(seed),
--- a/crates/plovershelf-operator/src/lib.rs
+++ b/crates/plovershelf-operator/src/lib.rs
@@ -1,9 +1,12 @@
 //! Operators' files to checked values. A file is taken whole or not at all, and all that is wrong with it is told in one
 //! go: each error names the file, the section, the key, the value, and what would be right.
 
+pub mod changes;
 pub mod group;
 pub mod pools;
 
+use std::net::SocketAddr;
+
 use ini::{Ini, Properties};
 
 /// What is wrong with a file, a line each.
@@ -27,8 +30,12 @@
 
 impl<'a> Reading<'a> {
     fn of(file: &'a str, text: &str) -> Result<(Self, Ini), Wrong> {
-        if text.len() > LONGEST {
-            return Err(Wrong(vec![format!("{file}: longer than {LONGEST} bytes")]));
+        Reading::up_to(file, text, LONGEST)
+    }
+
+    fn up_to(file: &'a str, text: &str, longest: usize) -> Result<(Self, Ini), Wrong> {
+        if text.len() > longest {
+            return Err(Wrong(vec![format!("{file}: longer than {longest} bytes")]));
         }
         match Ini::load_from_str_noescape(text) {
             Ok(ini) => Ok((Reading { file, wrong: Vec::new() }, ini)),
@@ -40,6 +47,37 @@
         self.wrong.push(format!("{}: [{section}] {what}", self.file));
     }
 
+    /// Keys before the first section.
+    fn outside(&mut self, told: &Properties, sections: &str) {
+        for (key, _) in told.iter() {
+            self.say("", &format!("{key} stands before any section; {sections} begins one"));
+        }
+    }
+
+    fn word(&mut self, section: &str, told: &Properties, key: &str, otherwise: Option<&str>) -> String {
+        let value = told.get(key).map(str::trim).or(otherwise).unwrap_or("");
+        if value.is_empty()
+            || value.len() > 64
+            || value.contains(|c: char| c.is_whitespace() || c.is_control() || c == ',')
+        {
+            self.say(section, &format!("{key} = {value:?}: one word of at most 64 bytes"));
+        }
+        value.to_string()
+    }
+
+    /// Where others reach this process.
+    fn reached_at(&mut self, section: &str, told: &Properties, key: &str) -> SocketAddr {
+        let value = told.get(key).unwrap_or("");
+        match value.trim().parse::<SocketAddr>() {
+            Ok(at) if at.port() != 0 && !at.ip().is_unspecified() => at,
+            _ => {
+                let what = "the ADDRESS:PORT at which others reach this member";
+                self.say(section, &format!("{key} = {value:?}: {what}"));
+                SocketAddr::from(([0, 0, 0, 0], 0))
+            }
+        }
+    }
+
     /// Keys that are not known, or stand there twice.
     fn check_keys(&mut self, section: &str, told: &Properties, known: &[&str]) {
         let mut seen: Vec<&str> = Vec::new();
--- a/crates/plovershelf-server/src/group.rs
+++ b/crates/plovershelf-server/src/group.rs
@@ -6,10 +6,11 @@
 
 mod copied;
 mod folder;
-mod links;
 mod zoned;
 
+pub use crate::links::now_ms;
 pub use copied::{Asked, Told};
+pub(crate) use folder::drawn;
 pub use zoned::Counted;
 
 use std::net::TcpListener;
@@ -30,8 +31,9 @@
 use plovershelf_operator::group::Group as Setup;
 use plovershelf_zones::plan::BANDS;
 
+use crate::changes::{self, Word};
+use crate::links::{self, Heard, Links};
 use folder::Folder;
-use links::Links;
 
 /// What the owner tells of itself without being asked: when it last went round, and whether it does its work.
 #[derive(Default)]
@@ -88,12 +90,6 @@
 const FOLDER_AGAIN_MS: f64 = 500.0;
 const NOTES_A_SECOND: u32 = 10;
 
-/// A clock that never goes back and goes on while the machine sleeps: so a lease is over when it wakes.
-pub fn now_ms() -> f64 {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    time.tv_sec as f64 * 1000.0 + time.tv_nsec as f64 / 1e6
-}
-
 /// The wall clock; a test may tell the program that it is off.
 fn wall_ms() -> u64 {
     let off = std::env::var("PLOVERSHELF_TEST_CLOCK_OFF_MS")
@@ -106,12 +102,12 @@
 
 /// All that can happen to the keeper from outside.
 pub enum Incoming {
-    Wire {
-        wire: Box<Wire>,
-        from_here: bool,
-        answer: Sender<Answer>,
+    Heard(Heard),
+    /// Please have this decided under the key of changes.
+    Propose {
+        number: u64,
+        bytes: Vec<u8>,
     },
-    Odd(String),
     /// What the owner wants of the copies.
     Asked(Asked),
     /// The notice to leave: what is held for others is to stand elsewhere within so long.
@@ -120,6 +116,12 @@
     },
 }
 
+impl From<Heard> for Incoming {
+    fn from(heard: Heard) -> Self {
+        Incoming::Heard(heard)
+    }
+}
+
 /// Starts the group's thread. What the sender takes reaches it.
 ///
 /// Errors: the listener or the folder can't be had, in one line.
@@ -152,21 +154,27 @@
         setup.zones.clone().map(|zones| zoned::Zoned::new(zones, &setup.zone, now_ms()).map(Box::new));
     let zoned = zoned.transpose()?;
     let (inbox, incoming) = async_channel::bounded(INBOX);
+    let carrier = |source| changes::start_source(&setup, source, name.clone(), inbox.clone());
+    let carrier = setup.changes.as_ref().map(carrier).transpose()?;
     let own = inbox.clone();
     let run = move || {
         let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
         let listening = match Async::new(listener) {
-            Ok(listener) => links::accept(executor, listener, Rc::from(setup.name.as_str()), own),
+            Ok(listener) => {
+                links::accept(executor, listener, Rc::from(setup.name.as_str()), own, links::AMONG_MEMBERS)
+            }
             Err(error) => return tracing::error!("the group ends: {error}"),
         };
         executor.spawn(listening).detach();
-        let links = Links::new(executor, &setup.name, setup.ways.clone());
+        let links = Links::new(executor, &setup.name, setup.ways.clone(), links::AMONG_MEMBERS, None);
         let group = Group::new(start, now_ms());
         let (own, life) = (group.about().id, group.members().me().life);
         let copies = setup.copies.clone().zip(told);
         let copies = copies.map(|(terms, told)| copied::Copied::new(own, life, terms, told));
         let zoned = zoned.map(|zones| *zones);
         let keeper = Keeper {
+            carrier,
+            word: Word::default(),
             copies,
             zoned,
             group,
@@ -190,6 +198,9 @@
 
 struct Keeper {
     group: Group,
+    /// Where changes are carried from here: the carrier's queue, and what it was told last.
+    carrier: Option<Sender<changes::Incoming>>,
+    word: Word,
     copies: Option<copied::Copied>,
     zoned: Option<zoned::Zoned>,
     name: String,
@@ -285,10 +296,10 @@
     fn take(&mut self, event: Incoming) {
         let now = now_ms();
         match event {
-            Incoming::Wire { wire, from_here, answer } => match *wire {
+            Incoming::Heard(Heard::Wire { wire, from_here, answer }) => match *wire {
                 Wire::Say(envelope) => self.group.hear(now, envelope),
                 Wire::Ask(question) => self.asked(question, from_here, answer),
-                Wire::Answer(_) => {}
+                Wire::Answer(_) | Wire::Carried { .. } => {}
                 Wire::Part { from, to, bytes } => {
                     let own = self.group.about().id;
                     if let Some(zoned) = self.zoned.as_mut().filter(|_| to == own) {
@@ -298,7 +309,8 @@
                     }
                 }
             },
-            Incoming::Odd(what) => self.note(&what),
+            Incoming::Heard(Heard::Odd(what)) => self.note(&what),
+            Incoming::Propose { number, bytes } => drop(self.group.propose(now, changes::KEY, number, bytes)),
             Incoming::Asked(asked) => {
                 if let Some(copies) = self.copies.as_mut() {
                     copies.asked(now, asked);
@@ -428,6 +440,25 @@
             copies.doubts(now_ms(), &self.group.doubted());
         }
         self.hand_out_copies();
+        self.tell_carrier();
+    }
+
+    /// The council's word on changes, whichever way it came here. What its queue has no room for is told the next time.
+    fn tell_carrier(&mut self) {
+        let Some(carrier) = &self.carrier else { return };
+        let leader = self.group.leader().and_then(|id| self.group.name_of(id));
+        let word = self.group.word(changes::KEY);
+        let (era, number) = (self.group.council().era(), word.map_or(0, |word| word.number));
+        let agrees = leader.is_some() && self.group.undecided_since().is_none();
+        let told = &self.word;
+        if (era, number, agrees) == (told.era, told.number, told.agrees) && leader == told.leader {
+            return;
+        }
+        let bytes = word.map_or_else(Vec::new, |word| word.bytes.clone());
+        let word = Word { era, number, bytes, leader, agrees };
+        if carrier.try_send(changes::Incoming::Council(word.clone())).is_ok() {
+            self.word = Word { bytes: Vec::new(), ..word };
+        }
     }
 
     /// What the copies say goes by the links of the group, to whom the agreed view says.
--- a/crates/plovershelf-server/src/launch.rs
+++ b/crates/plovershelf-server/src/launch.rs
@@ -23,6 +23,8 @@
     pub pools: Option<Plan>,
     /// The group that it belongs to, where the operator has set one.
     pub group: Option<plovershelf_operator::group::Group>,
+    /// From whom it hears of changes, where the operator has set it up.
+    pub changes: Option<plovershelf_operator::changes::Listener>,
     /// The document itself, to tell later what has changed.
     pub told: Value,
 }
@@ -50,6 +52,7 @@
     let mut launch = read(&top).map_err(named)?;
     launch.pools = pools(&launch.start.offerings)?;
     launch.group = group()?;
+    launch.changes = changes()?;
     Ok(launch)
 }
 
@@ -80,6 +83,16 @@
     plovershelf_operator::group::read(&shown, &text).map(Some).map_err(|wrong| wrong.to_string())
 }
 
+/// The file that `PLOVERSHELF_CHANGES` names, where it names one; quotas stay as the settings have them without.
+///
+/// Errors: all that is wrong with the file.
+fn changes() -> Result<Option<plovershelf_operator::changes::Listener>, String> {
+    let Some(path) = std::env::var_os("PLOVERSHELF_CHANGES") else { return Ok(None) };
+    let shown = path.to_string_lossy();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("PLOVERSHELF_CHANGES {shown}: {e}"))?;
+    plovershelf_operator::changes::read(&shown, &text).map(Some).map_err(|wrong| wrong.to_string())
+}
+
 fn word<'a>(top: &'a Value, key: &str) -> Result<&'a str, String> {
     top[key].as_str().ok_or_else(|| format!("{key:?} is missing or no text"))
 }
@@ -140,6 +153,7 @@
         start: plovershelf_facts::read_value(&top["settings"], seed)?,
         pools: None,
         group: None,
+        changes: None,
         told: top.clone(),
     })
 }
--- a/crates/plovershelf-server/src/lib.rs
+++ b/crates/plovershelf-server/src/lib.rs
@@ -1,11 +1,13 @@
 //! One backend on real sockets: starts the parts, hands them their queues, and waits for the end.
 
 mod agent;
+pub mod changes;
 mod connection;
 pub mod group;
 mod launch;
 mod ledger;
 mod limits;
+mod links;
 mod messages;
 mod owner;
 mod repeats;
@@ -56,7 +58,7 @@
     let (slots, leaving) = (Rc::new(()), Rc::new(Cell::new(false)));
 
     let (move_agent, agent_moved) = async_channel::bounded(1);
-    let Launch { peers, told, pools, group, .. } = launch;
+    let Launch { peers, told, pools, group, changes, .. } = launch;
     let pulse = group.is_some().then(std::sync::Arc::<group::Pulse>::default);
     let (told_by_copies, copies_told) = async_channel::unbounded();
     let with_copies = group.as_ref().is_some_and(|setup| setup.copies.is_some());
@@ -77,6 +79,18 @@
         };
         executor.spawn(hand_on).detach();
     }
+    let hears_changes = changes.is_some();
+    if let Some(file) = changes {
+        let (told, in_force) = async_channel::bounded(1);
+        changes::start(changes::Setup::of(file), launch.name.clone(), changes::Sink::Quotas(told))?;
+        let events = events.clone();
+        let hand_on = async move {
+            while let Ok(told) = in_force.recv().await {
+                let _ = events.send(Event::Quotas(told)).await;
+            }
+        };
+        executor.spawn(hand_on).detach();
+    }
     let offerings = launch.start.offerings.clone();
     let agent = agent::keep_link(peers.agent.clone(), agent_moved, events.clone(), limits.clone());
     executor.spawn(agent).detach();
@@ -114,7 +128,8 @@
     tracing::info!("{} listens on {}", launch.name, launch.listen);
     let start = launch.start;
     let owner = Owner::new(start, stop_ms, limits.clone(), (inbox, notice), calls, leaving, Some(listening));
-    let mut owner = owner.with_pools(pools)?.with_pulse(pulse).with_copies(copied);
+    let mut owner =
+        owner.with_pools(pools)?.with_pulse(pulse).with_copies(copied).with_changes(hears_changes);
     let run = async {
         let left = owner.run().await;
         // What was answered last is still on its way out of the connections' own tasks.
--- a/crates/plovershelf-server/src/group/links.rs
+++ b/crates/plovershelf-server/src/links.rs
@@ -1,4 +1,4 @@
-//! Links among members: one out to each that is talked to, frames in from those that talk here.
+//! Links among processes of a group: one out to each that is talked to, frames in from those that talk here.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
@@ -12,17 +12,42 @@
 use plovershelf_group::frames::{decode, encode, unframed, Hello, Wire, FRAME_MOST};
 use plovershelf_group::status::Answer;
 
-use super::{now_ms, Incoming};
 use crate::streams::{gather, within, write_all, Inflow};
 
-/// Links out at once; the one idle for longest makes room. Links in; more are refused.
-const LINKS: usize = 64;
-const LINKS_IN: usize = 256;
+/// How many links there may be, and for how long one may rest.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Out at once; the one idle for longest makes room.
+    pub out: usize,
+    /// In at once; more are refused.
+    pub inward: usize,
+    pub idle_ms: u64,
+}
+
+/// Enough for the members that one of a group talks to.
+pub const AMONG_MEMBERS: Bounds = Bounds { out: 64, inward: 256, idle_ms: 30_000 };
+
+/// What came over a link in.
+pub enum Heard {
+    Wire {
+        wire: Box<Wire>,
+        from_here: bool,
+        answer: Sender<Answer>,
+    },
+    /// Somebody sent what can't be read or belongs elsewhere, in one line.
+    Odd(String),
+}
+
+/// A clock that never goes back and goes on while the machine sleeps: so a lease is over when it wakes.
+pub fn now_ms() -> f64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as f64 * 1000.0 + time.tv_nsec as f64 / 1e6
+}
+
 /// Frames that wait for one link; more are dropped, as a network drops.
 const WAITING: usize = 64;
 const CONNECT_MS: u64 = 500;
 const STALL_MS: u64 = 2000;
-const IDLE_MS: u64 = 30_000;
 const HELLO_MS: u64 = 1000;
 const ANSWER_MS: u64 = 8000;
 /// A link that broke is not made anew at once.
@@ -35,8 +60,11 @@
 
 pub struct Links {
     executor: &'static LocalExecutor<'static>,
+    bounds: Bounds,
     hello: Vec<u8>,
     ways: BTreeMap<String, SocketAddr>,
+    /// Is told of each link out that broke or could not be made.
+    lost: Option<Sender<SocketAddr>>,
     out: BTreeMap<SocketAddr, Out>,
     broke: BTreeMap<SocketAddr, f64>,
 }
@@ -46,9 +74,11 @@
         executor: &'static LocalExecutor<'static>,
         group: &str,
         ways: BTreeMap<String, SocketAddr>,
+        bounds: Bounds,
+        lost: Option<Sender<SocketAddr>>,
     ) -> Self {
         let hello = encode(&Hello::of(group));
-        Links { executor, hello, ways, out: BTreeMap::new(), broke: BTreeMap::new() }
+        Links { executor, bounds, hello, ways, lost, out: BTreeMap::new(), broke: BTreeMap::new() }
     }
 
     /// Hands a frame to the link of its address, which is made where there is none. It may get lost.
@@ -74,7 +104,7 @@
         if self.broke.contains_key(&address) {
             return;
         }
-        if self.out.len() >= LINKS {
+        if self.out.len() >= self.bounds.out {
             let idle = self
                 .out
                 .iter()
@@ -84,52 +114,85 @@
         }
         let (frames, waiting) = async_channel::bounded(WAITING);
         let _ = frames.try_send(frame);
-        self.executor.spawn(carry(address, self.hello.clone(), waiting)).detach();
+        let (hello, lost, idle_ms) = (self.hello.clone(), self.lost.clone(), self.bounds.idle_ms);
+        let carried = async move {
+            if let (Carried::Broke, Some(lost)) = (carry(address, hello, waiting, idle_ms).await, lost) {
+                let _ = lost.try_send(address);
+            }
+        };
+        self.executor.spawn(carried).detach();
         self.out.insert(address, Out { frames, used_at: now });
     }
 }
 
+/// How a link out came to its end.
+enum Carried {
+    /// It was not needed any longer.
+    Rested,
+    Broke,
+}
+
 /// Connects, says who it is, then writes frames until there are none for long or nobody takes them.
-async fn carry(address: SocketAddr, hello: Vec<u8>, frames: Receiver<Vec<u8>>) {
-    let Ok(stream) = within(CONNECT_MS, Async::<TcpStream>::connect(address)).await else { return };
+async fn carry(address: SocketAddr, hello: Vec<u8>, frames: Receiver<Vec<u8>>, idle_ms: u64) -> Carried {
+    let Ok(stream) = within(CONNECT_MS, Async::<TcpStream>::connect(address)).await else {
+        return Carried::Broke;
+    };
     let _ = stream.get_ref().set_nodelay(true);
     if write_all(&stream, &hello, STALL_MS).await.is_err() {
-        return;
+        return Carried::Broke;
     }
     loop {
+        let next = async { gather(&frames).await.ok_or(Carried::Rested) };
         let idle = async {
-            Timer::after(Duration::from_millis(IDLE_MS)).await;
-            None
+            Timer::after(Duration::from_millis(idle_ms)).await;
+            Err(Carried::Rested)
         };
         // The other side says nothing on this link; when it ends, so does the link.
         let ended = async {
             let mut byte = [0; 1];
             let _ = futures_lite::AsyncReadExt::read(&mut &stream, &mut byte).await;
-            None
+            Err(Carried::Broke)
+        };
+        let bytes = match future::or(next, future::or(idle, ended)).await {
+            Ok(bytes) => bytes,
+            Err(end) => return end,
         };
-        let Some(bytes) = future::or(gather(&frames), future::or(idle, ended)).await else { return };
         if write_all(&stream, &bytes, STALL_MS).await.is_err() {
-            return;
+            return Carried::Broke;
         }
     }
 }
 
 /// Takes connections of members and of people.
-pub async fn accept(
+pub async fn accept<T: From<Heard> + 'static>(
     executor: &'static LocalExecutor<'static>,
     listener: Async<TcpListener>,
     group: Rc<str>,
-    inbox: Sender<Incoming>,
+    inbox: Sender<T>,
+    bounds: Bounds,
 ) {
     let slots = Rc::new(());
     let here = listener.get_ref().local_addr().map(|address| address.ip()).ok();
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) if Rc::strong_count(&slots) <= LINKS_IN => {
+        let ended = async {
+            inbox.closed().await;
+            None
+        };
+        let Some(came) = future::or(ended, async { Some(listener.accept().await) }).await else { return };
+        match came {
+            Ok((stream, from)) if Rc::strong_count(&slots) <= bounds.inward => {
                 let _ = stream.get_ref().set_nodelay(true);
                 let from_here = from.ip().is_loopback() && here.is_some_and(|here| here.is_loopback())
                     || here == Some(from.ip());
-                let read = read(stream, from.ip(), from_here, group.clone(), inbox.clone(), slots.clone());
+                let read = read(
+                    stream,
+                    from.ip(),
+                    from_here,
+                    group.clone(),
+                    inbox.clone(),
+                    slots.clone(),
+                    bounds.idle_ms,
+                );
                 executor.spawn(read).detach();
             }
             Ok(_) => {}
@@ -138,16 +201,17 @@
     }
 }
 
-async fn read(
+async fn read<T: From<Heard>>(
     stream: Async<TcpStream>,
     from: IpAddr,
     from_here: bool,
     group: Rc<str>,
-    inbox: Sender<Incoming>,
+    inbox: Sender<T>,
     _slot: Rc<()>,
+    idle_ms: u64,
 ) {
     let odd =
-        |what: String| drop(inbox.try_send(Incoming::Odd(format!("{from} {what}; its link is closed"))));
+        |what: String| drop(inbox.try_send(Heard::Odd(format!("{from} {what}; its link is closed")).into()));
     let mut inflow = Inflow::new(FRAME_MOST + 64, 16 << 10);
     let mut greeted = false;
     loop {
@@ -174,8 +238,12 @@
                 used
             }
             Ok(None) => {
-                let patience = if greeted { 2 * IDLE_MS } else { HELLO_MS };
-                match within(patience, inflow.fill(&stream)).await {
+                let patience = if greeted { 2 * idle_ms } else { HELLO_MS };
+                let ended = async {
+                    inbox.closed().await;
+                    Ok(false)
+                };
+                match future::or(ended, within(patience, inflow.fill(&stream))).await {
                     Ok(true) => continue,
                     _ => return,
                 }
@@ -187,10 +255,15 @@
 }
 
 /// False where the link has come to its end.
-async fn hand_on(stream: &Async<TcpStream>, wire: Wire, from_here: bool, inbox: &Sender<Incoming>) -> bool {
+async fn hand_on<T: From<Heard>>(
+    stream: &Async<TcpStream>,
+    wire: Wire,
+    from_here: bool,
+    inbox: &Sender<T>,
+) -> bool {
     let asks = matches!(wire, Wire::Ask(_));
     let (answer, answers) = async_channel::bounded::<Answer>(1);
-    match inbox.try_send(Incoming::Wire { wire: Box::new(wire), from_here, answer }) {
+    match inbox.try_send(Heard::Wire { wire: Box::new(wire), from_here, answer }.into()) {
         Ok(()) | Err(TrySendError::Full(_)) => {}
         Err(TrySendError::Closed(_)) => return false,
     }
--- a/crates/plovershelf-server/src/messages.rs
+++ b/crates/plovershelf-server/src/messages.rs
@@ -45,6 +45,8 @@
     Copies(crate::group::Told),
     /// The operator's file of pools was read again.
     Pools(plovershelf_pools::Plan),
+    /// Tenants' quotas that are in force from now on.
+    Quotas(crate::changes::Quotas),
 }
 
 /// What the agent says, as the owner needs it.
--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -2,6 +2,7 @@
 //! gets orders back through queues of its own; it never waits for any of them.
 
 mod below;
+mod changed;
 mod copied;
 mod peers;
 mod pooled;
@@ -157,6 +158,8 @@
     worked_at: f64,
     /// Where a group wants to know that this goes round and does its work.
     pulse: Option<std::sync::Arc<crate::group::Pulse>>,
+    /// Tenants' quotas that may change while this runs, where an operator has set it up.
+    changed: Option<changed::Changed>,
     /// Takes what is wanted of the copies, where tickets have any.
     copies: Option<Sender<crate::group::Incoming>>,
     /// What is held for others stands elsewhere, or nothing is.
@@ -217,6 +220,7 @@
             work_ms: FIRST_WORK_MS,
             worked_at: 0.0,
             pulse: None,
+            changed: None,
             copies: None,
             handed_on: true,
             limits,
@@ -236,6 +240,12 @@
         self
     }
 
+    pub fn with_changes(mut self, on: bool) -> Self {
+        let start = &self.start;
+        self.changed = on.then(|| changed::Changed::new(&start.tenants, &start.facts.tenant_quotas));
+        self
+    }
+
     pub fn with_copies(mut self, copies: Option<Sender<crate::group::Incoming>>) -> Self {
         self.handed_on = copies.is_none();
         self.copies = copies;
@@ -391,6 +401,7 @@
             Event::CallOver { id, over } => self.call_over(id, over),
             Event::Copies(told) => self.copies_told(told),
             Event::Pools(plan) => self.replan(plan),
+            Event::Quotas(told) => self.quotas_told(&told),
         }
     }
 
