--- a/crates/plovershelf-cli/src/config.rs
+++ b/crates/plovershelf-cli/src/config.rs
@@ -168,7 +168,12 @@
         println!("{}", told(&reports, &all));
         unreached.iter().for_each(|why| println!("NOT ASKED: {why}"));
     }
-    let well = all.in_force == all.of && all.missing.is_empty() && unreached.is_empty() && !all.two_contents;
+    // Nobody heard of is no success.
+    let well = all.of > 0
+        && all.in_force == all.of
+        && all.missing.is_empty()
+        && unreached.is_empty()
+        && !all.two_contents;
     Ok(u8::from(!well))
 }
 
@@ -223,6 +228,9 @@
             all.newest.number, all.in_force, all.of
         ),
     ];
+    if all.of == 0 {
+        lines.push("NO LISTENER IS HEARD OF".into());
+    }
     if !all.missing.is_empty() {
         let names: Vec<&str> = all.missing.iter().take(NAMES_SHOWN).map(String::as_str).collect();
         let more = if all.missing.len() > NAMES_SHOWN { " and more" } else { "" };
