--- a/src/logic.rs
+++ b/src/logic.rs
@@ -108,6 +108,24 @@
     usual_waits: Vec<(f64, i32)>,
 }
 
+/// How many invocations of a tenant were admitted of late: a sum that decays, as it stood at a time. It is
+/// brought up to date when it is asked for. Guards against work at each arrival that grows with the tenants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Admitted {
+    sum: f64,
+    at: f64,
+}
+
+impl Admitted {
+    fn faded(self, now: f64) -> f64 {
+        self.sum * fade(now - self.at)
+    }
+
+    fn add(&mut self, now: f64) {
+        *self = Admitted { sum: self.faded(now) + 1.0, at: now };
+    }
+}
+
 struct Invocation {
     state: State,
     offering: usize,
@@ -180,7 +198,7 @@
     buckets: usize,
     tallies: Vec<f64>,
     counters: Vec<u32>,
-    tenants: Vec<f64>,
+    tenants: Vec<Admitted>,
     tally_time: f64,
     advised: f64,
     /// How long idle connections are to stay, and the last span told.
@@ -192,6 +210,11 @@
     out: Outcome,
 }
 
+/// What is left of a tally after so long.
+fn fade(passed_ms: f64) -> f64 {
+    0.5f64.powf(passed_ms / TALLY_HALF_MS)
+}
+
 fn bits(time: f64) -> u64 {
     time.max(0.0).to_bits()
 }
@@ -238,7 +261,7 @@
             buckets: values.len(),
             tallies: vec![0.0; 2 * values.len()],
             counters: vec![0; 2 * values.len()],
-            tenants: vec![0.0; facts.tenant_quotas.len()],
+            tenants: vec![Admitted { sum: 0.0, at: now }; facts.tenant_quotas.len()],
             tally_time: now,
             advised: -1.0,
             idle_ms: facts.idle_most_ms,
@@ -298,7 +321,7 @@
                 return self.result();
             }
         }
-        self.tenants.get_mut(arrival.tenant).into_iter().for_each(|admitted| *admitted += 1.0);
+        self.tenants.get_mut(arrival.tenant).into_iter().for_each(|admitted| admitted.add(now));
         self.remember(id, &arrival);
         self.run_held();
         self.result()
@@ -385,7 +408,7 @@
             self.ease += SMOOTH * (self.part_let_in() - self.ease);
             self.call_quick_ms *= 1.005;
             self.advise();
-            let room = || (self.quotas().1 * self.facts.cores, self.calls_most.min(self.at_call_most()));
+            let room = || (self.load_quotas().1 * self.facts.cores, self.calls_most.min(self.at_call_most()));
             self.out.words.room = self.pools.as_ref().map(|_| room());
         } else if now + 0.01 >= self.woken_for {
             // Superseded wakes come too: only the one that was waited for clears the way for the next.
@@ -412,6 +435,22 @@
         self.result()
     }
 
+    /// New quotas of tenants, told while the backend serves: a tenant's place in the start facts, and its
+    /// invocations a second over the whole fleet inside its share. Arrivals are judged by them from now on,
+    /// against the tallies as they stand. With one that can't be, none of them changes and a note names it.
+    pub fn quotas(&mut self, now: f64, changed: &[(usize, f64)]) -> Outcome {
+        self.pass_to(now);
+        let known = self.facts.tenant_quotas.len();
+        let can_be = |&&(place, quota): &&(usize, f64)| place < known && quota.is_finite() && quota >= 0.0;
+        if let Some((place, quota)) = changed.iter().find(|one| !can_be(one)) {
+            let what = format!("no quota changes: {quota} a second for tenant {place} of {known} can't be");
+            self.out.words.notes.push(what);
+        } else {
+            changed.iter().for_each(|&(place, quota)| self.facts.tenant_quotas[place] = quota);
+        }
+        self.result()
+    }
+
     // ---- quotas -------------------------------------------------------------------------------------
 
     /// Runs a core that are on the cores or wait for disk; those at a call have a bound of their own.
@@ -432,7 +471,7 @@
     }
 
     /// The soft and the hard quota, in runs a core; the hard one's ceiling rises from cold to warm.
-    fn quotas(&self) -> (f64, f64) {
+    fn load_quotas(&self) -> (f64, f64) {
         let wanted = self.paced_crowd().unwrap_or(HARD_FIRST * self.warmth());
         let hard = wanted.min(HARD_OF_SURVIVABLE * self.survivable()).max(1.0 + 1.0 / self.facts.cores);
         (1.0 + SOFT_PART * (hard - 1.0), hard)
@@ -440,7 +479,7 @@
 
     /// All that stands at calls may come back to the cores at once, beside as many runs as the quota lets in.
     fn at_call_most(&self) -> f64 {
-        let room = CALLERS_BACK * self.survivable() - self.quotas().1;
+        let room = CALLERS_BACK * self.survivable() - self.load_quotas().1;
         (self.facts.cores * room.min(AT_CALL_HARD)).max(1.0)
     }
 
@@ -463,7 +502,7 @@
         let stepped = |soft: f64, hard: f64, load: f64| {
             ((hard - load) / ((hard - soft) / steps)).floor().clamp(0.0, steps) / steps
         };
-        let (soft, hard) = self.quotas();
+        let (soft, hard) = self.load_quotas();
         let mut part = stepped(soft, hard, self.load());
         let idle = self.busy < GATE_BUSY;
         part = if part > 0.0 && idle { 1.0 } else { part };
@@ -479,7 +518,7 @@
         let Some((pool, room)) = self.pool_room(offering) else { return part };
         let (runs, calls) = self.hand.pooled[pool];
         let (runs, calls) = (runs as f64, calls as f64);
-        let holds = self.load() < self.quotas().1 && (self.hand.at_call as f64) < self.at_call_most();
+        let holds = self.load() < self.load_quotas().1 && (self.hand.at_call as f64) < self.at_call_most();
         match runs {
             runs if runs >= room.runs || calls >= room.calls => 0.0,
             runs if runs < room.kept && holds => 1.0,
@@ -513,7 +552,8 @@
     }
 
     fn tenant_over_quota(&self, tenant: usize) -> bool {
-        let per_s = |admitted: &f64| admitted * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
+        let per_s =
+            |admitted: &Admitted| admitted.faded(self.now) * 1000.0 * std::f64::consts::LN_2 / TALLY_HALF_MS;
         let quota = self.facts.tenant_quotas.get(tenant).map(|quota| quota / self.facts.servers);
         self.tenants.get(tenant).zip(quota).is_some_and(|(admitted, quota)| per_s(admitted) > quota)
     }
@@ -571,10 +611,10 @@
 
     /// Takes an arrival into the hold; returns how much of its contract time is left.
     fn take_in(&mut self, arrival: &Arrival) -> f64 {
-        let fade = 0.5f64.powf((self.now - self.tally_time) / TALLY_HALF_MS);
+        let fade = fade(self.now - self.tally_time);
         self.tally_time = self.now;
         self.offerings.iter_mut().for_each(|o| o.tally *= fade);
-        self.tallies.iter_mut().chain(&mut self.tenants).for_each(|t| *t *= fade);
+        self.tallies.iter_mut().for_each(|t| *t *= fade);
         self.unread_ms += UNREAD_WEIGHT * (arrival.unread_ms - self.unread_ms);
         self.offerings[arrival.offering].tally += 1.0;
         let row = &self.offerings[arrival.offering];
@@ -698,7 +738,7 @@
 
     fn run_held(&mut self) {
         loop {
-            let (_, hard) = self.quotas();
+            let (_, hard) = self.load_quotas();
             if self.load() >= hard || self.hand.at_call as f64 >= self.at_call_most() {
                 return;
             }
@@ -826,7 +866,7 @@
             // A part of the quota for each caller. One each may add up to more with many of them, which a cold
             // one does not bear: there a fraction counts by chance.
             AdviceMeaning::OutstandingPerCaller => {
-                let each = self.facts.cores * self.quotas().1 / self.facts.callers;
+                let each = self.facts.cores * self.load_quotas().1 / self.facts.callers;
                 each.max(if self.warmth() < 1.0 { 0.0 } else { 1.0 })
             }
             // A cold one takes no more of the usual than it has of its speed.
