--- a/crates/plovershelf-server/src/changes/sink.rs
+++ b/crates/plovershelf-server/src/changes/sink.rs
@@ -92,3 +92,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/plovershelf-server/src/changes/source.rs
+++ b/crates/plovershelf-server/src/changes/source.rs
@@ -227,3 +227,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/plovershelf-server/src/owner/changed.rs
+++ b/crates/plovershelf-server/src/owner/changed.rs
@@ -50,6 +50,8 @@
             unknown,
             "change {version}: {here} quotas differ here, {unknown} tenants are none of the settings'"
         );
-        //SEAM
+        if !differing.is_empty() {
+            self.decide(|backend, now| backend.quotas(now, &differing));
+        }
     }
 }
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -758,3 +758,27 @@
     stage.send(peer, dispatch(1, 1, "plain", &[], b""));
     assert_eq!((stage.commands(), stage.owner.open.len()), (vec![], 0));
 }
+
+/// A tenant that the settings do not name is left, one that the content lacks keeps what the settings say; all this also while
+/// no module runs yet.
+#[test]
+fn quotas_that_come_into_force_reach_the_module_by_the_tenants_places() {
+    let told = |whole: bool, quotas: &[(&str, Option<f64>)]| {
+        let quotas = quotas.iter().map(|(name, quota)| ((*name).into(), *quota)).collect();
+        Event::Quotas(crate::changes::Quotas { whole, quotas, ..Default::default() })
+    };
+    let mut stage = Stage::new();
+    stage.owner.take(told(true, &[("acme", Some(5.0))]));
+    assert_eq!(stage.owner.start.facts.tenant_quotas, [1000.0], "off by default");
+    stage.owner.changed = Some(changed::Changed::new(&stage.owner.start.tenants, &[1000.0]));
+    let mut quotas = |event: Event| {
+        stage.owner.take(event);
+        stage.owner.start.facts.tenant_quotas.clone()
+    };
+    assert_eq!(quotas(told(true, &[("acme", Some(5.0)), ("stranger", Some(1.0))])), [5.0]);
+    assert_eq!(quotas(told(false, &[("stranger", Some(2.0))])), [5.0]);
+    assert_eq!(quotas(told(false, &[("acme", Some(6.0))])), [6.0]);
+    assert_eq!(quotas(told(false, &[("acme", None)])), [1000.0]);
+    assert_eq!(quotas(told(false, &[("acme", Some(7.0))])), [7.0]);
+    assert_eq!(quotas(told(true, &[("stranger", Some(1.0))])), [1000.0]);
+}
