--- a/crates/plovershelf-cli/src/config.rs
+++ b/crates/plovershelf-cli/src/config.rs
@@ -18,14 +18,20 @@
 pub struct Options {
     #[command(subcommand)]
     command: Command,
+}
+
+/// Who is asked, and how it is told. Not global, as some of several addresses would get lost where they stand on both
+/// sides of the sub-command.
+#[derive(Args)]
+struct Whom {
     /// Who is asked, as `listen` in its section [changes]; for all of the fleet every source.
-    #[arg(long, global = true, value_name = "ADDRESS:PORT")]
+    #[arg(long, value_name = "ADDRESS:PORT", required = true)]
     at: Vec<SocketAddr>,
     /// The group's name.
-    #[arg(long, global = true, value_name = "NAME", default_value = "fleet")]
+    #[arg(long, value_name = "NAME", default_value = "fleet")]
     name: String,
     /// One JSON object instead of tables.
-    #[arg(long, global = true)]
+    #[arg(long)]
     json: bool,
 }
 
@@ -38,11 +44,19 @@
         /// Only if this is the newest number.
         #[arg(long, value_name = "NUMBER")]
         after: Option<u64>,
+        #[command(flatten)]
+        whom: Whom,
     },
     /// The newest change, where it is in force, and who lacks it.
-    Status,
+    Status {
+        #[command(flatten)]
+        whom: Whom,
+    },
     /// The last changes.
-    History,
+    History {
+        #[command(flatten)]
+        whom: Whom,
+    },
 }
 
 const WITHIN: Duration = Duration::from_secs(10);
@@ -64,29 +78,23 @@
 
 /// Exit statuses: 0 done, 1 refused or missing somewhere; an error is that nothing could be asked.
 pub fn run(options: &Options) -> Result<u8, String> {
-    let first = *options.at.first().ok_or("--at ADDRESS:PORT says whom to ask")?;
     match &options.command {
-        Command::Propose { file, after } => {
+        Command::Propose { file, after, whom } => {
             let shown = file.to_string_lossy();
             let text = std::fs::read_to_string(file).map_err(|error| format!("{shown}: {error}"))?;
             let edits =
                 plovershelf_operator::changes::edits(&shown, &text).map_err(|wrong| wrong.to_string())?;
-            let told = async_io::block_on(ask_changes(
-                first,
-                &options.name,
-                &Ask::Propose { edits, after: *after },
-            ))?;
-            finish(options, &told)
-        }
-        Command::History => {
-            finish(options, &async_io::block_on(ask_changes(first, &options.name, &Ask::History))?)
+            ask_one(whom, &Ask::Propose { edits, after: *after })
         }
-        Command::Status => status(options),
+        Command::History { whom } => ask_one(whom, &Ask::History),
+        Command::Status { whom } => status(whom),
     }
 }
 
-fn finish(options: &Options, told: &Told) -> Result<u8, String> {
-    if options.json {
+fn ask_one(whom: &Whom, what: &Ask) -> Result<u8, String> {
+    let [at] = whom.at[..] else { return Err("--at: one address for this command".into()) };
+    let told = &async_io::block_on(ask_changes(at, &whom.name, what))?;
+    if whom.json {
         let object = match told {
             Told::Done(what) => json!({"done": what}),
             Told::Refused(why) => json!({"refused": why}),
@@ -143,10 +151,10 @@
     all
 }
 
-fn status(options: &Options) -> Result<u8, String> {
+fn status(whom: &Whom) -> Result<u8, String> {
     let (mut reports, mut unreached) = (Vec::new(), Vec::new());
-    for at in &options.at {
-        match async_io::block_on(ask_changes(*at, &options.name, &Ask::Status)) {
+    for at in &whom.at {
+        match async_io::block_on(ask_changes(*at, &whom.name, &Ask::Status)) {
             Ok(Told::Status(report)) => reports.push(*report),
             Ok(Told::Refused(why)) => unreached.push(format!("{at}: {why}")),
             Ok(_) => unreached.push(format!("{at}: answered something else")),
@@ -157,7 +165,7 @@
         return Err(unreached.join("; "));
     }
     let all = summed(&reports);
-    if options.json {
+    if whom.json {
         let object = json!({
             "newest": shown(all.newest), "number": all.newest.number, "in_force": all.in_force, "of": all.of,
             "missing": all.missing, "two_contents": all.two_contents, "unreached": unreached,
--- /dev/null
+++ b/crates/plovershelf-server/tests/changes.rs
@@ -0,0 +1,362 @@
+//! Changes on real sockets: three sources as processes, a real backend that hears of them, and what is asked of all from outside.
+//! No verdict hangs on the time it took: each waits for a state, a minute at most.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use plovershelf_changes::content::Edit;
+use plovershelf_group::frames::{decode, encode, plain, unframed, Hello, Wire};
+use plovershelf_group::status::{Answer, Question};
+use plovershelf_server::changes::asks::{Ask, Report, Told, KEY};
+use plovershelf_server::group::{self, Pulse};
+use plovershelf_standins::free_address;
+use plovershelf_standins::scripted::SETTINGS;
+
+const SOURCES: usize = 3;
+const SOURCE_FILE: &str = "PLOVERSHELF_TEST_SOURCE";
+
+/// Not a test where it is started as one: the process of a source, which the others start and end.
+#[test]
+fn source_process() {
+    let Some(file) = std::env::var_os(SOURCE_FILE) else { return };
+    let file = PathBuf::from(file);
+    let text = std::fs::read_to_string(&file).expect("a file");
+    let setup = plovershelf_operator::group::read("group.ini", &text).expect("a good file");
+    let name = file.file_stem().expect("a name").to_string_lossy().into_owned();
+    let pulse = Arc::<Pulse>::default();
+    let _member = group::start(setup, name, pulse.clone(), None).expect("a member");
+    loop {
+        pulse.beat(true);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+}
+
+struct Process {
+    child: Child,
+    at: SocketAddr,
+}
+
+impl Process {
+    fn signal(&self, name: &str) {
+        let told = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
+        assert!(told.expect("sh").success());
+    }
+
+    fn threads(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Stage {
+    folder: PathBuf,
+    files: Vec<PathBuf>,
+    at: Vec<SocketAddr>,
+    sources: Vec<Option<Process>>,
+}
+
+impl Stage {
+    /// Three sources that begin from two tenants.
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("plovershelf-changes-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let tenants = folder.join("tenants.ini");
+        std::fs::write(&tenants, "[tenants]\nacme = 1000\nzeta = 5\n").expect("a file");
+        let free = || free_address().expect("a free port");
+        let (members, at): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            (0..SOURCES).map(|_| (free(), free())).unzip();
+        let list = |of: &[SocketAddr]| of.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ");
+        let mut files = Vec::new();
+        for place in 0..SOURCES {
+            let others: Vec<SocketAddr> = at.iter().copied().filter(|other| *other != at[place]).collect();
+            let file = folder.join(format!("c{}.ini", place + 1));
+            let text = format!(
+                "[group]\nname = trial\nlisten = {}\nseeds = {}\ncouncil = c1, c2, c3\nfolder = {}\n\
+                 [changes]\nlisten = {}\nsources = {}\ntenants = {}\n",
+                members[place],
+                list(&members),
+                folder.join(format!("c{}", place + 1)).display(),
+                at[place],
+                list(&others),
+                tenants.display()
+            );
+            std::fs::write(&file, text).expect("a file");
+            files.push(file);
+        }
+        let mut stage = Stage { folder, files, at, sources: (0..SOURCES).map(|_| None).collect() };
+        (0..SOURCES).for_each(|place| stage.start(place));
+        stage
+    }
+
+    fn start(&mut self, place: usize) {
+        let own = std::env::current_exe().expect("this program");
+        let mut command = Command::new(own);
+        command.args(["source_process", "--exact"]).env(SOURCE_FILE, &self.files[place]);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        let child = command.spawn().expect("a process");
+        self.sources[place] = Some(Process { child, at: self.at[place] });
+    }
+
+    fn kill(&mut self, place: usize) {
+        self.sources[place] = None;
+    }
+
+    /// A real backend, whose agent is not there; with a file of changes, or without.
+    fn backend(&self, changes: bool) -> Process {
+        let free = || free_address().expect("a free port");
+        let at = free();
+        let name = if changes { "n1" } else { "n2" };
+        let configuration = self.folder.join(format!("{name}.json"));
+        let text = format!(
+            r#"{{"name": "{name}", "listen": "{}", "agent": "{}", "records": "{}", "registry": "{}",
+                "seed": "8c1f30d27a5be964", "stop_ms": 1500,
+                "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 1024}}, "settings": {SETTINGS}}}"#,
+            free(),
+            free(),
+            free(),
+            free()
+        );
+        std::fs::write(&configuration, text).expect("a file");
+        let file = self.folder.join(format!("{name}-changes.ini"));
+        let sources = self.at.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ");
+        let text = format!("[changes]\nname = trial\nlisten = {at}\nzone = a\nsources = {sources}\n");
+        std::fs::write(&file, text).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
+        command.env("RELAY_CONFIG", &configuration).stdin(Stdio::null()).stdout(Stdio::null());
+        let log = std::fs::File::create(self.log(name)).expect("a file");
+        command.stderr(log);
+        if changes {
+            command.env("PLOVERSHELF_CHANGES", &file);
+        }
+        Process { child: command.spawn().expect("a backend"), at }
+    }
+
+    fn log(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    /// What the sources and these say; none where one of them does not answer.
+    fn reports(&self, more: &[SocketAddr]) -> Option<Vec<Report>> {
+        let sources = self.sources.iter().flatten().map(|source| source.at);
+        sources.chain(more.iter().copied()).map(report).collect()
+    }
+
+    /// Waits until all have this number and one content, and a source can have the next one agreed on.
+    fn all_have(&self, number: u64, more: &[SocketAddr]) -> Vec<Report> {
+        let mut seen = Vec::new();
+        until(&format!("number {number} everywhere"), || {
+            seen = self.reports(more).unwrap_or_default();
+            let same =
+                |one: &Report| one.node.version.number == number && one.node.digest == seen[0].node.digest;
+            let agrees = |one: &Report| one.council.as_ref().is_none_or(|council| council.agrees);
+            !seen.is_empty() && seen.iter().all(same) && seen.iter().all(agrees)
+        });
+        seen
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.sources.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < Duration::from_secs(60), "{what}");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+/// Sends these bytes; the first frame that comes back, or none where the link is closed.
+fn say(at: SocketAddr, bytes: &[u8]) -> Option<Wire> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
+    stream.write_all(bytes).ok()?;
+    let (mut bytes, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        if let Ok(Some((content, _))) = unframed(&bytes) {
+            return decode(content).ok();
+        }
+        let count = stream.read(&mut chunk).ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&chunk[..count]);
+    }
+}
+
+fn ask(at: SocketAddr, what: &Ask) -> Option<Told> {
+    let question = Wire::Ask(Question::Part { part: KEY.into(), bytes: plain(what) });
+    match say(at, &[encode(&Hello::of("trial")), encode(&question)].concat())? {
+        Wire::Answer(answer) => match *answer {
+            Answer::Part(bytes) => decode(&bytes).ok(),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+fn report(at: SocketAddr) -> Option<Report> {
+    match ask(at, &Ask::Status)? {
+        Told::Status(report) => Some(*report),
+        _ => None,
+    }
+}
+
+fn set(tenant: &str, quota_per_s: f64) -> Edit {
+    Edit::Set { tenant: tenant.into(), quota_per_s }
+}
+
+fn add(tenant: &str, quota_per_s: f64) -> Edit {
+    Edit::Add { tenant: tenant.into(), quota_per_s }
+}
+
+fn propose(at: SocketAddr, edits: Vec<Edit>, after: Option<u64>) -> Told {
+    ask(at, &Ask::Propose { edits, after }).expect("an answer")
+}
+
+/// The same where the council may have to find a leader first: proposed until it is in force as the number after that.
+fn agreed(at: SocketAddr, edits: &[Edit], after: u64) {
+    until(&format!("a change after {after}"), || {
+        let told = propose(at, edits.to_vec(), Some(after));
+        told == done(after + 1) || report(at).is_some_and(|one| one.node.version.number == after + 1)
+    });
+}
+
+fn done(number: u64) -> Told {
+    Told::Done(format!("agreed as number {number}"))
+}
+
+#[test]
+fn a_change_is_in_force_in_a_real_backend_and_one_of_two_at_once_wins() {
+    let stage = Stage::new("force");
+    let backend = stage.backend(true);
+    // What all begin from, before any change.
+    let first = stage.all_have(0, &[backend.at]);
+    assert_eq!(first[3].node.tenants, 2);
+    assert_eq!(propose(stage.at[0], vec![set("acme", 7.0), add("new", 3.0)], None), done(1));
+    let all = stage.all_have(1, &[backend.at]);
+    assert!(all[3].node.tenants == 3 && !all[3].source && all[3].node.parent.is_some());
+    until("its source counts it", || {
+        let all = stage.reports(&[]).unwrap_or_default();
+        all.iter().map(|one| (one.node.in_force, one.node.under)).max() == Some((1, 1))
+    });
+    // The owner in the backend has heard of it too; only one of the three tenants is its settings'.
+    until("its owner has it", || {
+        let log = std::fs::read_to_string(stage.log("n1")).unwrap_or_default();
+        log.lines().any(|line| line.contains("1 quotas differ here"))
+    });
+    // Both are to follow on number 1, so whichever comes second can't also be taken.
+    let (one, other) = (stage.at[1], stage.at[2]);
+    let second = std::thread::spawn(move || propose(other, vec![set("acme", 9.0)], Some(1)));
+    let told = [propose(one, vec![set("acme", 8.0)], Some(1)), second.join().expect("an answer")];
+    let won: Vec<usize> = (0..2).filter(|place| told[*place] == done(2)).collect();
+    assert_eq!(won.len(), 1, "{told:?}");
+    let lost = &told[1 - won[0]];
+    assert!(
+        matches!(lost, Told::Refused(why) if why.contains("another change took number 2") || why.contains("after 1")),
+        "{lost:?}"
+    );
+    let all = stage.all_have(2, &[backend.at]);
+    assert!(all.iter().all(|one| one.node.tenants == 3));
+    let Some(Told::History(changes)) = ask(backend.at, &Ask::History) else { panic!("a history") };
+    let newest = changes.last().expect("a change");
+    assert_eq!(newest.edits, [set("acme", [8.0, 9.0][won[0]])]);
+}
+
+#[test]
+fn what_is_bad_changes_nothing_and_is_named() {
+    let stage = Stage::new("bad");
+    let backend = stage.backend(true);
+    let at = stage.at[0];
+    stage.all_have(0, &[backend.at]);
+    assert_eq!(propose(at, vec![set("acme", 7.0)], None), done(1));
+    let before = stage.all_have(1, &[backend.at])[0].node.digest;
+    let long = |n: u32| add(&format!("{n:060}"), 1.0);
+    let bad: [(Vec<Edit>, Option<u64>, &str); 7] = [
+        (vec![set("nobody", 1.0)], None, "\"nobody\""),
+        (vec![add("acme", 1.0)], None, "\"acme\""),
+        (vec![set("acme", f64::NAN)], None, "NaN"),
+        (vec![set("acme", -1.0)], None, "-1"),
+        (vec![set("acme", 2.0)], Some(0), "after 0"),
+        ((0..2000).map(long).collect(), None, "65536 bytes at most"),
+        (vec![], None, "no edit"),
+    ];
+    for (edits, after, what) in bad {
+        let told = propose(at, edits, after);
+        assert!(matches!(&told, Told::Refused(why) if why.contains(what)), "{what}: {told:?}");
+    }
+    let told = propose(backend.at, vec![set("acme", 2.0)], None);
+    assert!(matches!(&told, Told::Refused(why) if why.contains("listener")), "{told:?}");
+    // A torn frame, a stranger, and a message that is none: the link ends, or nothing comes of it.
+    let hello = encode(&Hello::of("trial"));
+    let good = encode(&Wire::Ask(Question::Part { part: KEY.into(), bytes: plain(&Ask::Status) }));
+    let mut torn = good.clone();
+    *torn.last_mut().expect("bytes") ^= 1;
+    assert!(say(at, &[hello.clone(), torn].concat()).is_none());
+    assert!(say(at, &[encode(&Hello::of("other")), good.clone()].concat()).is_none());
+    let none = encode(&Wire::Carried { at: backend.at, bytes: vec![255; 40] });
+    assert!(say(at, &[hello, none, good].concat()).is_some());
+    let after = stage.all_have(1, &[backend.at]);
+    assert!(after.iter().all(|one| one.node.digest == before));
+}
+
+#[test]
+fn one_that_stood_still_or_lost_its_sources_has_the_newest_or_serves_on_and_says_how_old_it_is() {
+    let mut stage = Stage::new("still");
+    let backend = stage.backend(true);
+    stage.all_have(0, &[backend.at]);
+    backend.signal("STOP");
+    assert_eq!(propose(stage.at[0], vec![set("acme", 1.0)], None), done(1));
+    assert_eq!(propose(stage.at[0], vec![set("acme", 2.0)], None), done(2));
+    backend.signal("CONT");
+    let all = stage.all_have(2, &[backend.at]);
+    // Whom it hears from is lost: it goes to another.
+    let parent = all[3].node.parent.or_else(|| report(backend.at)?.node.parent);
+    let parent = stage.at.iter().position(|at| Some(*at) == parent).expect("a source");
+    stage.kill(parent);
+    until("it hears from another", || {
+        report(backend.at).and_then(|one| one.node.parent).is_some_and(|at| at != stage.at[parent])
+    });
+    stage.all_have(2, &[backend.at]);
+    agreed(stage.at[(parent + 1) % SOURCES], &[set("zeta", 6.0)], 2);
+    let digest = stage.all_have(3, &[backend.at])[0].node.digest;
+    // All are lost: it goes by the last number, and its age grows.
+    (0..SOURCES).for_each(|place| stage.kill(place));
+    until("it says how old it is", || {
+        report(backend.at).is_some_and(|one| {
+            let node = one.node;
+            node.version.number == 3 && node.digest == digest && node.age_ms.is_some_and(|age| age > 3000.0)
+        })
+    });
+    // All begin anew, from their folders, and go on where they were.
+    (0..SOURCES).for_each(|place| stage.start(place));
+    stage.all_have(3, &[backend.at]);
+    agreed(stage.at[0], &[set("zeta", 8.0)], 3);
+    stage.all_have(4, &[backend.at]);
+}
+
+/// The main thread and the reactor's, as before there were changes; descriptors are counted in `tests/group.rs`.
+#[test]
+fn without_its_file_there_is_no_thread_for_changes_and_with_it_one_more() {
+    let stage = Stage::new("off");
+    let (with, without) = (stage.backend(true), stage.backend(false));
+    stage.all_have(0, &[with.at]);
+    until("both serve", || {
+        let serves =
+            |name: &str| std::fs::read_to_string(stage.log(name)).is_ok_and(|log| log.contains("listens on"));
+        serves("n1") && serves("n2")
+    });
+    assert_eq!((without.threads(), with.threads()), (2, 3));
+    assert!(report(without.at).is_none());
+}
