A link that rested may be made anew at once; relays on real sockets under test

Cause: a link that was closed for idleness counted as broken, so the first frame after a rest was always dropped, and with a rest of 4 s each question to a spare (every 10 s) was such a frame. The link says why it ended; the test fails without. Also: a source whose content is ahead of a council that was begun anew may propose.

--- a/crates/plovershelf-server/src/changes/source.rs
+++ b/crates/plovershelf-server/src/changes/source.rs
@@ -81,7 +81,7 @@
                 "{PROPOSALS_MOST} changes are being agreed on here already; try again in a moment"
             )));
         }
-        if self.word.number > 0 && change.before != self.newest {
+        if change.before < self.newest {
             return answer(Told::Refused(format!(
                 "change {} was agreed on and has not come here yet; try again in a moment",
                 self.newest.number
--- a/crates/plovershelf-server/src/links.rs
+++ b/crates/plovershelf-server/src/links.rs
@@ -1,5 +1,6 @@
 //! Links among processes of a group: one out to each that is talked to, frames in from those that talk here.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -56,6 +57,8 @@
 struct Out {
     frames: Sender<Vec<u8>>,
     used_at: f64,
+    /// It ended because it was not needed, so the next may be made at once.
+    rested: Rc<Cell<bool>>,
 }
 
 pub struct Links {
@@ -94,8 +97,9 @@
             // A link that takes nothing loses what is new: what is old there is as good.
             Some((Err(TrySendError::Full(_)), _)) => return,
             Some((Err(TrySendError::Closed(frame)), _)) => {
-                self.out.remove(&address);
-                self.broke.insert(address, now);
+                if self.out.remove(&address).is_some_and(|out| !out.rested.get()) {
+                    self.broke.insert(address, now);
+                }
                 frame
             }
             None => frame,
@@ -115,13 +119,17 @@
         let (frames, waiting) = async_channel::bounded(WAITING);
         let _ = frames.try_send(frame);
         let (hello, lost, idle_ms) = (self.hello.clone(), self.lost.clone(), self.bounds.idle_ms);
+        let rested: Rc<Cell<bool>> = Rc::default();
+        let rests = rested.clone();
         let carried = async move {
-            if let (Carried::Broke, Some(lost)) = (carry(address, hello, waiting, idle_ms).await, lost) {
-                let _ = lost.try_send(address);
+            match (carry(address, hello, &waiting, idle_ms).await, lost) {
+                (Carried::Rested, _) => rests.set(true),
+                (Carried::Broke, Some(lost)) => drop(lost.try_send(address)),
+                (Carried::Broke, None) => {}
             }
         };
         self.executor.spawn(carried).detach();
-        self.out.insert(address, Out { frames, used_at: now });
+        self.out.insert(address, Out { frames, used_at: now, rested });
     }
 }
 
@@ -133,7 +141,7 @@
 }
 
 /// Connects, says who it is, then writes frames until there are none for long or nobody takes them.
-async fn carry(address: SocketAddr, hello: Vec<u8>, frames: Receiver<Vec<u8>>, idle_ms: u64) -> Carried {
+async fn carry(address: SocketAddr, hello: Vec<u8>, frames: &Receiver<Vec<u8>>, idle_ms: u64) -> Carried {
     let Ok(stream) = within(CONNECT_MS, Async::<TcpStream>::connect(address)).await else {
         return Carried::Broke;
     };
@@ -142,7 +150,7 @@
         return Carried::Broke;
     }
     loop {
-        let next = async { gather(&frames).await.ok_or(Carried::Rested) };
+        let next = async { gather(frames).await.ok_or(Carried::Rested) };
         let idle = async {
             Timer::after(Duration::from_millis(idle_ms)).await;
             Err(Carried::Rested)
@@ -274,3 +282,6 @@
     let told = told.unwrap_or_else(|_| Answer::Refused("no answer came in time".into()));
     write_all(stream, &encode(&Wire::Answer(Box::new(told))), STALL_MS).await.is_ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/plovershelf-server/tests/changes.rs
+++ b/crates/plovershelf-server/tests/changes.rs
@@ -8,10 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
 use plovershelf_changes::content::Edit;
+use plovershelf_changes::node::Terms;
 use plovershelf_group::frames::{decode, encode, plain, unframed, Hello, Wire};
 use plovershelf_group::status::{Answer, Question};
 use plovershelf_server::changes::asks::{Ask, Report, Told, KEY};
+use plovershelf_server::changes::{self, InForce, Setup, Sink};
 use plovershelf_server::group::{self, Pulse};
 use plovershelf_standins::free_address;
 use plovershelf_standins::scripted::SETTINGS;
@@ -346,6 +350,89 @@
     stage.all_have(4, &[backend.at]);
 }
 
+/// Ten listeners on one executor, fed by relays that feed two each; a relay that ends is gone with its listener and its links.
+#[test]
+fn listeners_whose_relay_ends_hear_from_another_and_all_have_what_comes_next() {
+    const COUNT: usize = 10;
+    let stage = Stage::new("relays");
+    stage.all_have(0, &[]);
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    let (to, heard) = async_channel::unbounded::<InForce>();
+    let terms = Terms { fan_out: 2, failover_fan_out: 4, source_fan_out: 2, ..Terms::default() };
+    let begin = |n: usize| -> (SocketAddr, Task<()>) {
+        let listen = free_address().expect("a free port");
+        let setup = Setup {
+            group: "trial".into(),
+            listen,
+            zone: format!("z{}", n % 2),
+            region: "north".into(),
+            sources: stage.at.clone(),
+            terms: terms.clone(),
+        };
+        let task = changes::run_on(executor, setup, format!("n{n}"), Sink::Versions(to.clone()));
+        (listen, task.expect("a listener"))
+    };
+    let mut listeners: Vec<(SocketAddr, Task<()>)> = (0..COUNT).map(begin).collect();
+    // What is asked from outside blocks, so it has a thread of its own.
+    let off = |work: Box<dyn FnOnce() -> bool + Send>| async move {
+        let (told, asked) = async_channel::bounded(1);
+        std::thread::spawn(move || told.send_blocking(work()));
+        asked.recv().await.unwrap_or(false)
+    };
+    let at: Vec<SocketAddr> = listeners.iter().map(|(at, _)| *at).collect();
+    let sources = stage.at.clone();
+    let all_in_force = move |number: u64, count: u64| {
+        let sources = sources.clone();
+        move || {
+            let all: Option<Vec<Report>> = sources.iter().map(|at| report(*at)).collect();
+            let nodes = || all.iter().flatten().map(|one| &one.node);
+            nodes().all(|node| node.version.number == number && node.in_force == node.under)
+                && nodes().map(|node| node.in_force).sum::<u64>() == count
+        }
+    };
+    let run = async {
+        let began = Instant::now();
+        let patience = |what: &str| assert!(began.elapsed() < Duration::from_secs(60), "{what}");
+        let first = stage.at[0];
+        let change = |quota: f64, after: u64| {
+            off(Box::new(move || {
+                agreed(first, &[set("acme", quota)], after);
+                true
+            }))
+        };
+        assert!(change(7.0, 0).await);
+        while !off(Box::new(all_in_force(1, COUNT as u64))).await {
+            patience("ten have the first");
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        let (told, relay) = async_channel::bounded(1);
+        let feeds = move || {
+            let feeds = |at: &SocketAddr| report(*at).is_some_and(|one| one.node.children > 0);
+            told.send_blocking(at.iter().position(feeds)).is_ok()
+        };
+        assert!(off(Box::new(feeds)).await);
+        let relay = relay.recv().await.ok().flatten().expect("one that feeds others");
+        let (gone, task) = listeners.remove(relay);
+        drop(task);
+        while off(Box::new(move || TcpStream::connect(gone).is_ok())).await {
+            patience("its listener is gone");
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        assert!(change(8.0, 1).await);
+        while !off(Box::new(all_in_force(2, COUNT as u64 - 1))).await {
+            patience("nine have the second");
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    };
+    async_io::block_on(executor.run(run));
+    let mut seen: std::collections::BTreeMap<String, u64> = Default::default();
+    for InForce { name, version, .. } in std::iter::from_fn(|| heard.try_recv().ok()) {
+        let before = seen.insert(name.clone(), version.number);
+        assert!(before.is_none_or(|before| before < version.number), "{name} went back");
+    }
+    assert_eq!(seen.values().filter(|number| **number == 2).count(), COUNT - 1);
+}
+
 /// The main thread and the reactor's, as before there were changes; descriptors are counted in `tests/group.rs`.
 #[test]
 fn without_its_file_there_is_no_thread_for_changes_and_with_it_one_more() {
