--- a/crates/plovershelf-changes/src/message.rs
+++ b/crates/plovershelf-changes/src/message.rs
@@ -11,6 +11,8 @@
 pub const LIST_MOST: usize = 16;
 /// Names of those missing that a sum carries.
 pub const MISSING_MOST: usize = 8;
+/// Names of those that attached lately, in a message between sources.
+pub const JOINED_MOST: usize = 80;
 /// Relays that a source tells another source of.
 pub const PLACES_MOST: usize = 64;
 
@@ -35,6 +37,8 @@
     /// How many hear from it directly.
     pub feeds: u32,
     pub missing: Vec<String>,
+    /// Names of those that attached here since the last sum, some of them.
+    pub joined: Vec<String>,
 }
 
 /// The newest that a process has, and how long ago a source's word last came to it.
@@ -86,7 +90,8 @@
     Changes(Vec<Numbered>),
     /// What comes after this? Answered with changes, or with the first part of the whole.
     Ask(Newest),
-    /// The part of the whole of this version that follows on a name; of a newer version, it begins anew.
+    /// The part of the whole of this version that follows on a name. Of one that moved on, what changed comes before it, or
+    /// it begins anew.
     AskPart {
         version: Version,
         after: Option<String>,
@@ -99,6 +104,10 @@
         last: bool,
     },
     Sum(Sum),
+    /// From a source: these, named as missing, attached elsewhere since.
+    Found(Vec<String>),
+    /// Between sources: who attached lately, and where.
+    Joined(Vec<(String, SocketAddr)>),
     /// What is your newest? To a spare, from time to time.
     Check,
     Checked(Newest),
