--- a/crates/plovershelf-server/src/owner.rs
+++ b/crates/plovershelf-server/src/owner.rs
@@ -241,8 +241,7 @@
     }
 
     pub fn with_changes(mut self, on: bool) -> Self {
-        let start = &self.start;
-        self.changed = on.then(|| changed::Changed::new(&start.tenants, &start.facts.tenant_quotas));
+        self.changed = on.then(|| changed::Changed::new(&self.start.facts.tenant_quotas));
         self
     }
 
--- a/crates/plovershelf-server/src/owner/tests.rs
+++ b/crates/plovershelf-server/src/owner/tests.rs
@@ -770,7 +770,7 @@
     let mut stage = Stage::new();
     stage.owner.take(told(true, &[("acme", Some(5.0))]));
     assert_eq!(stage.owner.start.facts.tenant_quotas, [1000.0], "off by default");
-    stage.owner.changed = Some(changed::Changed::new(&stage.owner.start.tenants, &[1000.0]));
+    stage.owner.changed = Some(changed::Changed::new(&[1000.0]));
     let mut quotas = |event: Event| {
         stage.owner.take(event);
         stage.owner.start.facts.tenant_quotas.clone()
