Scale trial: group as it stands, hollow members beside four real backends

Nothing could say what a group of 920 costs or when a change is in force there: the largest trial on processes had nine. `plovershelf hollow` runs many members in one process, each with the true state machine and true links on an address of its own; `trial scale` starts racks of them, members alone in a process and four real backends under light load. Processor time and memory come from /proc, bytes from the kernel's counters for each TCP connection, each as the difference to the same processes before a group began. A short question (Brief) tells who is alive and which words stand without the length of a whole status.

--- a/crates/plovershelf-cli/src/copies.rs
+++ b/crates/plovershelf-cli/src/copies.rs
@@ -49,7 +49,7 @@
             eprintln!("plovershelf: refused: {why}");
             Ok(1)
         }
-        Answer::Status(_) | Answer::Done(_) | Answer::Part(_) => {
+        Answer::Status(_) | Answer::Done(_) | Answer::Part(_) | Answer::Brief(_) => {
             Err(format!("{at}: answered something else"))
         }
     }
--- a/crates/plovershelf-cli/src/group.rs
+++ b/crates/plovershelf-cli/src/group.rs
@@ -132,7 +132,7 @@
             }
             Ok(0)
         }
-        Answer::Copies(_) | Answer::Ticket(_) | Answer::Part(_) => {
+        Answer::Copies(_) | Answer::Ticket(_) | Answer::Part(_) | Answer::Brief(_) => {
             Err(format!("{at}: answered something else"))
         }
         Answer::Done(what) => {
--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod demo;
 mod group;
+mod hollow;
 mod load;
 mod trial;
 mod zones;
@@ -45,6 +46,9 @@
     Zones(zones::Options),
     /// Judges a history that a trial left.
     Audit(audit::Options),
+    /// Many members of a group in one process, without a front and without work; trials start it.
+    #[command(hide = true)]
+    Hollow(hollow::Options),
     /// Measures a claim on real processes; `plovershelf trial --list` names all.
     Trial(trial::Options),
 }
@@ -90,6 +94,7 @@
         Command::Copies(options) => copies::run(&options),
         Command::Zones(options) => zones::run(&options),
         Command::Audit(options) => audit::run(&options),
+        Command::Hollow(options) => hollow::run(&options),
         Command::Trial(options) => trial::run(&options),
     };
     match done {
--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -10,6 +10,7 @@
 mod group_model;
 mod pools;
 mod ramp;
+mod scale;
 mod zones;
 mod zones_model;
 
@@ -49,6 +50,12 @@
     /// Seeds that are played, of simulated ones.
     #[arg(long)]
     seeds: Option<u64>,
+    /// Callers that rest on connections to real backends.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=16_000))]
+    callers: Option<u32>,
+    /// Tenants that real backends are told of.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(2..=100_000))]
+    tenants: Option<u32>,
     /// A schedule of faults to play instead of the seed's.
     #[arg(long, value_name = "FILE")]
     schedule: Option<PathBuf>,
@@ -70,7 +77,7 @@
             Aim::Under(bound) => value < bound,
             Aim::AtMost(bound) => value <= bound,
             Aim::AtLeast(bound) => value >= bound,
-            Aim::Told => true,
+            Aim::Told => !value.is_nan(),
         }
     }
 
@@ -93,6 +100,8 @@
 #[derive(Debug, Default)]
 pub struct Figures {
     own: Vec<(&'static str, f64, Aim)>,
+    /// What is no figure: words and tables.
+    notes: Vec<(&'static str, Value)>,
     /// The same by phase.
     phases: Vec<(&'static str, Figures)>,
 }
@@ -106,6 +115,15 @@
         self.put(key, value, Aim::Told);
     }
 
+    /// One that may be missing: then it holds nothing, whatever its aim.
+    pub fn measured(&mut self, key: &'static str, value: Option<f64>, aim: Aim) {
+        self.put(key, value.unwrap_or(f64::NAN), aim);
+    }
+
+    pub fn note(&mut self, key: &'static str, value: Value) {
+        self.notes.push((key, value));
+    }
+
     fn hold(&self) -> bool {
         let own = self.own.iter().all(|(_, value, aim)| aim.holds(*value));
         own && self.phases.iter().all(|(_, figures)| figures.hold())
@@ -131,6 +149,7 @@
             let value: Value = if whole { (value as i64).into() } else { value.into() };
             object.insert((*key).into(), value);
         }
+        object.extend(self.notes.iter().map(|(key, value)| (key.to_string(), value.clone())));
         let phase = |(name, figures): &(&'static str, Figures)| {
             let mut told = Map::new();
             figures.put_into(&mut told);
@@ -169,12 +188,14 @@
     pub logs: Option<PathBuf>,
     pub members: Option<usize>,
     pub seeds: Option<u64>,
+    pub callers: Option<usize>,
+    pub tenants: Option<usize>,
     pub schedule: Option<PathBuf>,
 }
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 11] = [
+const TRIALS: [(&str, &str, Run); 12] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -225,6 +246,11 @@
         "simulated zones: what the plan makes of each shape of trouble, beside callers alone, fixed and the best; --members N --seeds N",
         zones_model::run,
     ),
+    (
+        "scale",
+        "a group of up to 920: hollow members beside four real backends, costs by the system's accounts, deaths and changes",
+        scale::run,
+    ),
     (
         "group-model",
         "simulated groups: --members 9|90|900 --seeds N; promises, times and bytes as they grow",
@@ -253,6 +279,8 @@
         logs: options.logs.clone(),
         members: options.members,
         seeds: options.seeds,
+        callers: options.callers.map(|callers| callers as usize),
+        tenants: options.tenants.map(|tenants| tenants as usize),
         schedule: options.schedule.clone(),
     };
     let figures = run(&ground)?;
--- a/crates/plovershelf-group/src/status.rs
+++ b/crates/plovershelf-group/src/status.rs
@@ -1,5 +1,7 @@
 //! What a member tells people of itself and the group, and what they may ask of it.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::council::Role;
@@ -29,6 +31,32 @@
         offering: String,
         ticket: String,
     },
+    /// The little that can be asked of each member of a large group often: see [`Brief`].
+    Brief {
+        names: Vec<String>,
+    },
+}
+
+/// Names that one brief question may carry.
+pub const BRIEF_NAMES_MOST: usize = 256;
+
+/// What stays small however many members there are: its length grows with the names asked about alone.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Brief {
+    pub name: String,
+    pub memory: u64,
+    pub era: u64,
+    pub view: u64,
+    pub leads: bool,
+    pub leader: Option<String>,
+    pub may_act: bool,
+    /// Members in the view, and those that this one takes to be alive or merely suspects.
+    pub in_view: u64,
+    pub alive: u64,
+    /// Those of the names asked about that it takes to be alive or merely suspects.
+    pub alive_of: Vec<String>,
+    /// Agreed words: key, number, checksum of the bytes.
+    pub words: Vec<(String, u64, u32)>,
 }
 
 /// What a member holds for others and asks of them.
@@ -86,6 +114,7 @@
     Part(Vec<u8>),
     Done(String),
     Refused(String),
+    Brief(Box<Brief>),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -153,6 +182,37 @@
     }
 }
 
+impl Brief {
+    pub fn of(group: &Group, names: &[String], now: f64) -> Self {
+        let (view, own, council) = (group.view(), group.about(), group.council());
+        let asked: BTreeSet<&str> = names.iter().take(BRIEF_NAMES_MOST).map(String::as_str).collect();
+        let mut alive_of = BTreeSet::new();
+        let mut alive = 0;
+        for news in group.members().alive() {
+            alive += 1;
+            if asked.contains(news.about.name.as_str()) {
+                alive_of.insert(news.about.name.clone());
+            }
+        }
+        let word = |(key, word): (&String, &crate::decided::Word)| {
+            (key.clone(), word.number, crc32fast::hash(&word.bytes))
+        };
+        Brief {
+            name: own.name.clone(),
+            memory: own.id.0,
+            era: council.era(),
+            view: view.number,
+            leads: council.leads(),
+            leader: group.leader().and_then(|id| group.name_of(id)),
+            may_act: group.may_act(now).is_some(),
+            in_view: view.members.len() as u64,
+            alive,
+            alive_of: alive_of.into_iter().collect(),
+            words: council.state().words.iter().map(word).collect(),
+        }
+    }
+}
+
 impl Status {
     pub fn of(group: &Group, name: &str, now: f64) -> Self {
         let council = group.council();
--- a/crates/plovershelf-server/src/group.rs
+++ b/crates/plovershelf-server/src/group.rs
@@ -26,7 +26,7 @@
 use plovershelf_group::frames::{self, Wire};
 use plovershelf_group::group::{Event, Group, Out, Start};
 use plovershelf_group::members::About;
-use plovershelf_group::status::{Answer, CopiesStatus, HeldStatus, Question, Status, TicketStatus};
+use plovershelf_group::status::{Answer, Brief, CopiesStatus, HeldStatus, Question, Status, TicketStatus};
 use plovershelf_operator::group::Group as Setup;
 use plovershelf_zones::plan::BANDS;
 
@@ -118,6 +118,12 @@
     Leave {
         within_ms: f64,
     },
+    /// A word that the council is asked to agree on, for trials.
+    Word {
+        key: String,
+        number: u64,
+        bytes: Vec<u8>,
+    },
 }
 
 /// Starts the group's thread. What the sender takes reaches it.
@@ -304,6 +310,7 @@
                     copies.asked(now, asked);
                 }
             }
+            Incoming::Word { key, number, bytes } => drop(self.group.propose(now, &key, number, bytes)),
             // With copies it stays a member until what it holds stands elsewhere; without any it goes at once.
             Incoming::Leave { within_ms } => match self.copies.as_mut() {
                 Some(copies) => {
@@ -327,6 +334,7 @@
                 }
                 _ => Answer::Refused(format!("nothing here is asked of {part:?}")),
             },
+            Question::Brief { names } => Answer::Brief(Box::new(Brief::of(&self.group, &names, now))),
             Question::Status => Answer::Status(Box::new(Status::of(&self.group, &self.name, now))),
             _ if !from_here => {
                 Answer::Refused("such a command is taken on the member's own machine alone".into())
--- a/crates/plovershelf-standins/src/account.rs
+++ b/crates/plovershelf-standins/src/account.rs
@@ -27,6 +27,8 @@
     /// The most that ran at once on one backend, by the crowd that it survives.
     pub crowd_most: f64,
     pub work_done_ms: f64,
+    /// How long the last run of each took, from its launch to its end by the agent's clock.
+    pub took_ms: BTreeMap<u64, f64>,
     pub ledger_fell: u64,
     pub ledger_most: usize,
     pub calls: u64,
--- a/crates/plovershelf-standins/src/agent.rs
+++ b/crates/plovershelf-standins/src/agent.rs
@@ -92,6 +92,7 @@
     fn over(&mut self, id: &TryId, how: &str, result: &[u8]) {
         let Some(run) = self.runs.remove(id) else { return };
         let took = self.clock.now() - run.began;
+        self.account.borrow_mut().took_ms.insert(run.work.number, took);
         let id = String::from_utf8_lossy(id).into_owned();
         self.notice(format!("outcome # {id} {how} {took:.3}"), Some(result));
     }
--- a/crates/plovershelf-standins/src/backend.rs
+++ b/crates/plovershelf-standins/src/backend.rs
@@ -204,6 +204,11 @@
         Ok(())
     }
 
+    /// From its next start on it belongs to the group that this file tells of; to none without one.
+    pub fn in_group(&mut self, file: Option<PathBuf>) {
+        self.group = file.map(|file| (file, self.file.with_extension("full")));
+    }
+
     /// Ends it at once, without notice.
     pub fn kill(&mut self) -> io::Result<()> {
         if let Some(mut child) = self.child.take() {
