--- a/crates/plovershelf-cli/src/main.rs
+++ b/crates/plovershelf-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod copies;
 mod demo;
 mod group;
+mod hollow;
 mod load;
 mod trial;
 mod zones;
@@ -51,6 +52,9 @@
     Control(control::Options),
     /// Judges a history that a trial left.
     Audit(audit::Options),
+    /// Many members of a group in one process, without a front and without work; trials start it.
+    #[command(hide = true)]
+    Hollow(hollow::Options),
     /// Measures a claim on real processes; `plovershelf trial --list` names all.
     Trial(trial::Options),
 }
@@ -100,6 +104,7 @@
         Command::Config(options) => config::run(&options),
         Command::Control(options) => control::run(&options),
         Command::Audit(options) => audit::run(&options),
+        Command::Hollow(options) => hollow::run(&options),
         Command::Trial(options) => trial::run(&options),
     };
     match done {
