Changes: relays come back to their fan-out; a source that is cut off holds nobody back

Cause: relays that took over from dead ones fed up to 32 until their children ended by themselves, with no room left for the next death. One child each 5 s is now sent to ask again.

--- a/crates/plovershelf-changes/src/attach.rs
+++ b/crates/plovershelf-changes/src/attach.rs
@@ -11,6 +11,7 @@
 //! | Attaching | refused, no answer in time, link lost | Attaching, at the next; Waiting where there is none |
 //! | Attached | parent silent, refuses, leaves, link lost; or its spare has newer | a leaf: Attaching, at its spare, then others near; a relay: Attaching, at another source |
 //! | Attached | a relay that nobody hears from for long | Seeking, as a leaf again |
+//! | Attached | a leaf whose relay feeds more than its fan-out and sends it elsewhere | Seeking |
 //! | Attaching, as a relay | refused by each source, twice | no relay any more: its children are told, Waiting |
 //!
 //! A relay attaches to sources only and a leaf feeds nobody, so no circle of parents can come about. In all states what is
--- a/crates/plovershelf-changes/src/message.rs
+++ b/crates/plovershelf-changes/src/message.rs
@@ -104,6 +104,8 @@
         last: bool,
     },
     Sum(Sum),
+    /// From a relay that feeds more than its fan-out, as another died: ask a source again.
+    Elsewhere,
     /// From a source: these, named as missing, attached elsewhere since.
     Found(Vec<String>),
     /// Between sources: who attached lately, and where.
--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -112,6 +112,7 @@
     flush_least: f64,
     /// Nothing is fetched before.
     pull: f64,
+    rebalance: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -178,6 +179,7 @@
                 flush: None,
                 flush_least: now,
                 pull: now,
+                rebalance: now,
             },
             called_at: now,
             out: Out::default(),
@@ -297,6 +299,12 @@
                 self.hear_part(now, from, (version, digest), after, entries, last);
             }
             Message::Sum(sum) => self.hear_sum(now, from, sum),
+            Message::Elsewhere if parent && !self.up.relay => {
+                self.send(from, Message::Leave);
+                let step = self.up.seek(now, None);
+                self.unattached();
+                self.step(now, step);
+            }
             Message::Found(names) if parent && names.len() <= MISSING_MOST => {
                 names.iter().for_each(|name| self.gone.back(name));
                 self.sum_soon();
@@ -547,6 +555,14 @@
         if stale {
             self.due.check = self.due.check.min(now + 1000.0);
         }
+        let over = self.spread.children.len() > self.terms.fan_out;
+        if !over {
+            self.due.rebalance = now + self.rng.random_range(1.0..2.0) * self.terms.rebalance_ms;
+        } else if now >= self.due.rebalance {
+            self.due.rebalance = now + self.terms.rebalance_ms;
+            let last = self.spread.children.last().map(|child| child.address);
+            last.into_iter().for_each(|last| self.send(last, Message::Elsewhere));
+        }
         if !self.up.relay || !self.spread.children.is_empty() {
             self.idle_since = now;
         } else if now - self.idle_since > self.terms.leaf_again_ms {
--- a/crates/plovershelf-changes/src/terms.rs
+++ b/crates/plovershelf-changes/src/terms.rs
@@ -31,6 +31,8 @@
     pub start_spread_ms: f64,
     /// How often sources tell of relays.
     pub near_ms: f64,
+    /// How often a relay that feeds more than its fan-out sends one of them elsewhere.
+    pub rebalance_ms: f64,
     /// A relay that feeds nobody for so long is a leaf again.
     pub leaf_again_ms: f64,
     /// A process that was not called for so long was stopped itself and takes nobody for silent.
@@ -58,6 +60,7 @@
             pause_most_ms: 1500.0,
             start_spread_ms: 200.0,
             near_ms: 2000.0,
+            rebalance_ms: 5000.0,
             leaf_again_ms: 120_000.0,
             stopped_ms: 700.0,
         }
--- a/crates/plovershelf-changes/tests/node.rs
+++ b/crates/plovershelf-changes/tests/node.rs
@@ -232,6 +232,26 @@
     assert!(status.age_ms.is_some_and(|age| age > 3_590_000.0), "{status:?}");
 }
 
+#[test]
+fn relays_that_took_over_from_dead_ones_come_back_to_their_fan_out() {
+    let mut net = Net::new(8, 3, 150, 2, Terms::default());
+    net.run(3000.0);
+    let relays: Vec<usize> = (3..153).filter(|at| net.node(*at).is_relay()).collect();
+    for relay in relays.iter().step_by(2) {
+        net.kill(*relay, true);
+    }
+    net.run(net.now + 4000.0);
+    let most = |net: &Net| {
+        let fed =
+            net.slots.iter().filter_map(|slot| slot.node.as_ref()).map(|node| node.status(0.0).children);
+        fed.max().unwrap()
+    };
+    assert!((17..=32).contains(&most(&net)), "{}", most(&net));
+    net.run(net.now + 120_000.0);
+    assert!(most(&net) <= 16, "{}", net.show());
+    assert!(net.behind().is_empty() && net.broken.is_empty());
+}
+
 #[test]
 fn a_process_that_is_back_elsewhere_is_not_missing() {
     let mut net = Net::new(6, 3, 60, 4, Terms::default());
@@ -332,7 +352,7 @@
     };
     let addresses = |rng: &mut Pcg32| (0..rng.random_range(0..20)).map(|_| address(rng)).collect::<Vec<_>>();
     let name = |rng: &mut Pcg32| "x".repeat(rng.random_range(0..70));
-    match rng.random_range(0..20) {
+    match rng.random_range(0..21) {
         0 => Message::Seek { about: about(1), avoid: addresses(rng), sent_on: rng.random() },
         1 | 2 => Message::Ways {
             relays: addresses(rng),
@@ -375,6 +395,7 @@
             })
         }
         15 => Message::Check,
+        19 => Message::Elsewhere,
         16 => Message::Checked(newest(rng)),
         17 => Message::Found((0..rng.random_range(0..10)).map(|_| name(rng)).collect()),
         18 => Message::Joined((0..rng.random_range(0..100)).map(|_| (name(rng), address(rng))).collect()),
--- a/crates/plovershelf-changes/tests/properties.rs
+++ b/crates/plovershelf-changes/tests/properties.rs
@@ -74,9 +74,9 @@
     for (at, held) in down {
         net.start(at, held);
     }
-    for slot in &mut net.slots {
-        slot.stopped_until = slot.stopped_until.min(net.now);
-    }
+    // The last fault ends when the last that is stopped goes on.
+    let stopped = net.slots.iter().map(|slot| slot.stopped_until).fold(net.now, f64::max);
+    net.run(stopped);
     let edits = net.random_edits();
     let _ = net.propose((seed % 3) as usize, edits);
     net
@@ -150,3 +150,31 @@
     println!("worst {worst:.0} ms");
     assert!(worst > 500.0 && worst < 3500.0, "{worst}");
 }
+
+/// A source that reaches all listeners but no other source is not told what those agree on: its relays find out from another.
+#[test]
+fn a_source_that_is_cut_off_from_the_others_holds_nobody_back() {
+    let mut worst: f64 = 0.0;
+    for seed in 0..12 {
+        let mut net = Net::new(seed, 3, 40, 4, Terms::default());
+        for source in 0..3 {
+            net.slots[source].group = 10 + source;
+        }
+        net.run(3000.0 + seed as f64 * 170.0);
+        net.cut = vec![(10, 11), (10, 12)];
+        assert!(net.node(0).status(net.now).children > 0);
+        let edits = net.random_edits();
+        let version = net.propose(1, edits).unwrap();
+        let from = net.now;
+        net.run(from + 4000.0);
+        net.check();
+        assert_eq!(net.behind(), vec![0], "seed {seed}\n{}", net.show());
+        worst = worst.max(net.in_force[&version].1 - from);
+        let edits = net.random_edits();
+        assert!(net.propose(0, edits).is_err());
+        net.cut.clear();
+        net.run(net.now + 1000.0);
+        assert_eq!(net.behind(), Vec::<usize>::new(), "seed {seed}\n{}", net.show());
+    }
+    println!("worst {worst:.0} ms");
+}
