Group: what is done often walks few of the members, with the same outcome

At 300 members the model spent most of its time on walks over all of them: the leader by all headings twice a message, those at one address and suspicions by the whole table.

--- a/crates/plovershelf-cli/src/trial/group_model.rs
+++ b/crates/plovershelf-cli/src/trial/group_model.rs
@@ -85,7 +85,7 @@
 fn slope(points: &[(f64, f64)]) -> Figures {
     let fit = Fit::of(points);
     let mut figures = Figures::default();
-    figures.told("slope_a_member", fit.map(|fit| fit.slope));
+    figures.told("slope", fit.map(|fit| fit.slope));
     figures.told("slope_error", fit.map(|fit| fit.slope_error));
     figures.told("intercept", fit.map(|fit| fit.intercept));
     figures.told("r_squared", fit.map(|fit| fit.r_squared));
--- a/crates/plovershelf-group/src/group.rs
+++ b/crates/plovershelf-group/src/group.rs
@@ -227,6 +227,8 @@
     members: Members,
     council: Council<Decided>,
     headings: BTreeMap<Id, Heading>,
+    /// The newest leader that headings of a council's number tell of, with its term.
+    told_leader: (u64, Option<(u64, Id)>),
     lease: Option<Lease>,
     /// The last stamp that a lease was asked for with, and whether what this process may do was told.
     lease_told: Option<u64>,
@@ -265,6 +267,7 @@
             members,
             council,
             headings: BTreeMap::new(),
+            told_leader: (0, None),
             lease: None,
             lease_told: None,
             renew_at: now,
@@ -337,9 +340,28 @@
     /// The leader, as far as it is known here.
     pub fn leader(&self) -> Option<Id> {
         let own = self.council.leader().map(|id| (self.council.term(), id));
-        let told = self.headings.values().filter(|h| h.era == self.council.era());
-        let told = told.filter_map(|heading| Some((heading.term, heading.leader?)));
-        told.chain(own).max_by_key(|(term, _)| *term).map(|(_, id)| id)
+        let era = self.council.era();
+        let told = if self.told_leader.0 == era { self.told_leader.1 } else { self.leader_by_headings(era) };
+        told.into_iter().chain(own).max_by_key(|(term, _)| *term).map(|(_, id)| id)
+    }
+
+    fn leader_by_headings(&self, era: u64) -> Option<(u64, Id)> {
+        let told = self.headings.values().filter(|heading| heading.era == era);
+        told.filter_map(|heading| Some((heading.term, heading.leader?))).max_by_key(|(term, _)| *term)
+    }
+
+    /// Headings are walked only where what they say of leaders changed, not with each message.
+    fn heard_heading(&mut self, from: Id, heading: Heading) {
+        let says = |heading: &Heading| (heading.era, heading.term, heading.leader);
+        let before = self.headings.insert(from, heading);
+        let full = self.headings.len() > self.terms.members.members;
+        if full {
+            self.headings.pop_first();
+        }
+        let era = self.council.era();
+        if full || before.as_ref().map(says) != Some(says(&heading)) || self.told_leader.0 != era {
+            self.told_leader = (era, self.leader_by_headings(era));
+        }
     }
 
     /// Since when no leader's word has come here, where none has for longer than elections take.
@@ -393,10 +415,7 @@
         }
         match say {
             Say::Probe { message, heading } => {
-                self.headings.insert(from, heading);
-                if self.headings.len() > self.terms.members.members {
-                    self.headings.pop_first();
-                }
+                self.heard_heading(from, heading);
                 self.members.hear(now, from, at, message);
                 self.compare(from, at, heading);
             }
@@ -778,9 +797,7 @@
         let of_view = self.view().members.get(&id).map(|seat| (&seat.name, seat.address));
         let known = self.members.find(id).map(|old| (&old.about.name, old.about.address)).or(of_view);
         let replaced = known.is_some_and(|(name, address)| {
-            self.members
-                .alive()
-                .any(|n| n.about.name == *name && n.about.address == address && n.about.id != id)
+            self.members.alive_at(address).any(|n| n.about.name == *name && n.about.id != id)
         });
         // Or so it was agreed: it left a view, and its name came again with another memory.
         let decided = self.council.state();
--- a/crates/plovershelf-group/src/members.rs
+++ b/crates/plovershelf-group/src/members.rs
@@ -171,6 +171,9 @@
     me: News,
     terms: Terms,
     table: BTreeMap<Id, Known>,
+    /// The same by address, and those of it that are not simply alive: what is done often walks few of the table.
+    places: BTreeSet<(SocketAddr, Id)>,
+    ailing: BTreeSet<Id>,
     round: Vec<Id>,
     probes: BTreeMap<u64, Probe>,
     /// News under way, with how often each was told.
@@ -204,6 +207,8 @@
             me,
             terms,
             table: BTreeMap::new(),
+            places: BTreeSet::new(),
+            ailing: BTreeSet::new(),
             round: Vec::new(),
             probes: BTreeMap::new(),
             rumours: BTreeMap::new(),
@@ -250,6 +255,18 @@
         std::iter::once(&self.me).chain(others).filter(|news| news.condition <= Condition::Suspected)
     }
 
+    /// Those alive at an address.
+    pub fn alive_at(&self, address: SocketAddr) -> impl Iterator<Item = &News> {
+        let there = self.places.range((address, Id(0))..=(address, Id(u64::MAX)));
+        let others = there.filter_map(|(_, id)| self.table.get(id).map(|known| &known.news));
+        let own = Some(&self.me).filter(|me| me.about.address == address);
+        own.into_iter().chain(others).filter(|news| news.condition <= Condition::Suspected)
+    }
+
+    fn ailing(&self) -> impl Iterator<Item = &Known> {
+        self.ailing.iter().filter_map(|id| self.table.get(id))
+    }
+
     pub fn doubt(&self) -> f64 {
         self.doubt
     }
@@ -472,8 +489,7 @@
         let longest = self.terms.suspicion_ms * members.log10().max(1.0) * (1.0 + self.doubt / 2.0);
         let shortest = longest * self.terms.shared_part;
         let over: Vec<News> = self
-            .table
-            .values()
+            .ailing()
             .filter(|known| {
                 let shared = known.shared_by.len().saturating_sub(1).min(SHARED_MOST) as f64;
                 let part = (shared + 1.0).ln() / (SHARED_MOST as f64 + 1.0).ln();
@@ -486,22 +502,29 @@
             self.learn(News { condition: Condition::Dead, by: self.me.about.id, ..news });
         }
         let forget = self.now - self.terms.forget_ms;
-        self.table.retain(|_, known| known.news.condition <= Condition::Suspected || known.since > forget);
+        let old = |known: &&Known| known.news.condition > Condition::Suspected && known.since <= forget;
+        let forgotten: Vec<(SocketAddr, Id)> =
+            self.ailing().filter(old).map(|known| (known.news.about.address, known.news.about.id)).collect();
+        for (address, id) in forgotten {
+            self.table.remove(&id);
+            self.places.remove(&(address, id));
+            self.ailing.remove(&id);
+        }
     }
 
     /// Tries one that is held for dead, or a seed that is not known: so halves that were cut apart find each other.
     fn knock(&mut self) {
-        let known: BTreeSet<SocketAddr> = self.alive().map(|news| news.about.address).collect();
-        let dead = self.table.values().filter(|known| known.news.condition == Condition::Dead);
+        let known = |address: SocketAddr| self.alive_at(address).next().is_some();
+        let dead = self.ailing().filter(|known| known.news.condition == Condition::Dead);
         let mut places: Vec<Whereto> = dead
             .map(|known| Whereto { id: Some(known.news.about.id), address: known.news.about.address })
-            .filter(|place| !known.contains(&place.address))
+            .filter(|place| !known(place.address))
             .collect();
-        let seeds = self.seeds.iter().filter(|seed| !known.contains(*seed));
+        let seeds = self.seeds.iter().filter(|seed| !known(**seed));
         places.extend(seeds.map(|seed| Whereto { id: None, address: *seed }));
         let Some(place) = places.get(self.chance.random_range(0..places.len().max(1))) else { return };
         self.ping(*place, None, None);
-        if self.alive().count() == 1 {
+        if self.alive().nth(1).is_none() {
             // Alone, every seed is tried.
             places.clone().into_iter().for_each(|place| self.ping(Whereto { id: None, ..place }, None, None));
         }
@@ -594,9 +617,18 @@
                     return;
                 }
                 let condition_changes = known.news.condition != news.condition;
-                known.shared_by = BTreeSet::from([news.by]);
+                known.shared_by = sharing(&news);
                 known.since = if condition_changes { self.now } else { known.since };
                 let condition = news.condition;
+                if known.news.about.address != news.about.address {
+                    self.places.remove(&(known.news.about.address, id));
+                    self.places.insert((news.about.address, id));
+                }
+                if condition == Condition::Alive {
+                    self.ailing.remove(&id);
+                } else {
+                    self.ailing.insert(id);
+                }
                 known.news = news;
                 if condition_changes {
                     self.changes.push(Change { id, condition });
@@ -612,7 +644,11 @@
                     return;
                 }
                 self.replace_namesake(&news);
-                let (shared_by, condition) = (BTreeSet::from([news.by]), news.condition);
+                let (shared_by, condition) = (sharing(&news), news.condition);
+                self.places.insert((news.about.address, id));
+                if condition != Condition::Alive {
+                    self.ailing.insert(id);
+                }
                 let known = Known { news, since: self.now, shared_by, heard_at: self.now };
                 self.table.insert(id, known);
                 self.changes.push(Change { id, condition });
@@ -626,13 +662,8 @@
     /// A name that comes back with another memory at the same address has lost its folder, or never had one: the old
     /// memory is gone.
     fn replace_namesake(&mut self, new: &News) {
-        let same = |known: &&Known| {
-            let about = &known.news.about;
-            about.name == new.about.name
-                && about.address == new.about.address
-                && known.news.condition < Condition::Dead
-        };
-        let old: Vec<News> = self.table.values().filter(same).map(|known| known.news.clone()).collect();
+        let same = |news: &&News| news.about.name == new.about.name && news.about.id != self.me.about.id;
+        let old: Vec<News> = self.alive_at(new.about.address).filter(same).cloned().collect();
         for news in old {
             self.learn(News { condition: Condition::Dead, by: new.about.id, ..news });
         }
@@ -641,9 +672,9 @@
     /// News of a memory whose place has been taken by a newer one that lives. Guards against old news that would put the
     /// newer one out; where a clock went back, the newer one waits until the older is found dead.
     fn is_older_namesake(&self, news: &News) -> bool {
-        self.alive().any(|other| {
+        self.alive_at(news.about.address).any(|other| {
             let (about, old) = (&other.about, &news.about);
-            about.name == old.name && about.address == old.address && about.born > old.born
+            about.name == old.name && about.born > old.born
         })
     }
 
@@ -652,3 +683,9 @@
         self.rumours.insert(self.me.about.id, 0);
     }
 }
+
+/// Who shares a suspicion at first.
+fn sharing(news: &News) -> BTreeSet<Id> {
+    let suspected = news.condition == Condition::Suspected;
+    suspected.then_some(news.by).into_iter().collect()
+}
