Merge the model's figures that fail without data; the changes trial follows

Spreads and figures of a trial are none where there is no data, which the trial of changes did by itself before; slopes are told from three sizes on, as a line through two says nothing.

--- a/crates/plovershelf-cli/src/trial/changes_model.rs
+++ b/crates/plovershelf-cli/src/trial/changes_model.rs
@@ -94,23 +94,18 @@
     (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
 }
 
-/// A figure without data is none, and fails what it is held to.
-fn or_none(value: Option<f64>) -> f64 {
-    value.unwrap_or(f64::NAN)
-}
-
 /// One way's figures of a shape over all seeds. `judged`: the mechanism.
 fn figures(name: &str, came: &[&Came], judged: bool) -> Figures {
     let mut figures = Figures::default();
     let aim = |aim: Aim| if judged { aim } else { Aim::Told };
     let none = aim(Aim::AtMost(0.0));
     let sum = |of: &dyn Fn(&Came) -> u64| came.iter().map(|one| of(one)).sum::<u64>() as f64;
-    let rate = |of: &dyn Fn(&Came) -> Rates| -> [f64; 3] {
+    let rate = |of: &dyn Fn(&Came) -> Rates| -> [Option<f64>; 3] {
         let of: Vec<Rates> = came.iter().map(|one| of(one)).collect();
         [
-            or_none(mean(of.iter().map(|rates| rates.mean))),
-            or_none(most(of.iter().map(|rates| rates.most))),
-            or_none(most(of.iter().map(|rates| rates.second))),
+            mean(of.iter().map(|rates| rates.mean)),
+            most(of.iter().map(|rates| rates.most)),
+            most(of.iter().map(|rates| rates.second)),
         ]
     };
     let bounded = if matches!(name, "calm" | "day") { aim(Aim::AtMost(BYTES)) } else { Aim::Told };
@@ -130,29 +125,28 @@
     figures.told("bytes_worst_source_a_second", source_most);
     figures.told("bytes_worst_source_worst_second", source_second);
     let highest = |of: &dyn Fn(&Came) -> u64| came.iter().map(|one| of(one)).max().map(|n| n as f64);
-    figures.told("messages_worst_second", or_none(highest(&|one| one.spent.messages_second)));
-    figures.told("peers_worst_second", or_none(highest(&|one| one.spent.peers_second)));
+    figures.told("messages_worst_second", highest(&|one| one.spent.messages_second));
+    figures.told("peers_worst_second", highest(&|one| one.spent.peers_second));
     let terms = Terms::default();
     if judged {
         figures.put(
             "fed_by_a_source_most",
-            or_none(highest(&|one| one.spent.children_of_source)),
+            highest(&|one| one.spent.children_of_source),
             Aim::AtMost(terms.source_failover_fan_out as f64),
         );
         figures.put(
             "fed_by_a_relay_most",
-            or_none(highest(&|one| one.spent.children_of_listener)),
+            highest(&|one| one.spent.children_of_listener),
             Aim::AtMost(terms.failover_fan_out as f64),
         );
-        figures.put("depth_most", or_none(highest(&|one| one.spent.depth)), Aim::AtMost(2.0));
+        figures.put("depth_most", highest(&|one| one.spent.depth), Aim::AtMost(2.0));
     } else {
-        figures.told("fed_by_a_source_most", or_none(highest(&|one| one.spent.children_of_source)));
+        figures.told("fed_by_a_source_most", highest(&|one| one.spent.children_of_source));
     }
     if name != "calm" {
         let mut in_force = Spread::default();
         came.iter().for_each(|one| in_force.join(&one.in_force_ms));
-        let known = in_force.count() > 0;
-        let seconds = |ms: f64| or_none(known.then_some(ms / 1000.0));
+        let seconds = |ms: Option<f64>| ms.map(|ms| ms / 1000.0);
         figures.put("changes", sum(&|one| one.agreed), aim(Aim::AtLeast(came.len() as f64 * 10.0)));
         figures.told("changes_without_a_council", sum(&|one| one.not_agreed));
         figures.told("in_force_s_median", seconds(in_force.at(0.5)));
@@ -201,11 +195,12 @@
     };
     for (size, phase) in &sizes {
         let mut figures = Figures::default();
-        of.iter().for_each(|(key, name, figure)| figures.told(key, or_none(value(*size, name, *figure))));
+        of.iter().for_each(|(key, name, figure)| figures.told(key, value(*size, name, *figure)));
         told.phase(phase, figures);
     }
     let mut drawn = Vec::new();
-    for (key, name, figure) in of {
+    // A line through fewer than three sizes says nothing.
+    for (key, name, figure) in of.into_iter().filter(|_| sizes.len() > 2) {
         let points: Vec<(f64, f64)> = work
             .iter()
             .zip(&came)
@@ -214,11 +209,11 @@
             .collect();
         let fit = Fit::of(&points);
         let mut figures = Figures::default();
-        figures.told("slope_a_member", or_none(fit.map(|fit| fit.slope)));
-        figures.told("slope_bar", or_none(fit.map(|fit| fit.slope_bar())));
-        figures.told("intercept", or_none(fit.map(|fit| fit.intercept)));
-        figures.told("r_squared", or_none(fit.map(|fit| fit.r_squared)));
-        figures.told("at_920", or_none(fit.map(|fit| fit.at(920.0))));
+        figures.told("slope_a_member", fit.map(|fit| fit.slope));
+        figures.told("slope_bar", fit.map(|fit| fit.slope_bar()));
+        figures.told("intercept", fit.map(|fit| fit.intercept));
+        figures.told("r_squared", fit.map(|fit| fit.r_squared));
+        figures.told("at_920", fit.map(|fit| fit.at(920.0)));
         told.phase(key, figures);
         drawn.push(Line { name: key.into(), points });
     }
