--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -1,6 +1,7 @@
 //! `plovershelf trial`: starts real backends with stand-ins on loopback, causes the trouble, and judges from what the
 //! stand-ins and callers saw.
 
+mod changes_model;
 mod client_overload;
 mod client_restart;
 mod copies;
@@ -77,7 +78,7 @@
             Aim::Under(bound) => value < bound,
             Aim::AtMost(bound) => value <= bound,
             Aim::AtLeast(bound) => value >= bound,
-            Aim::Told => !value.is_nan(),
+            Aim::Told => true,
         }
     }
 
@@ -99,7 +100,7 @@
 /// The figures of a trial, in the order of its table.
 #[derive(Debug, Default)]
 pub struct Figures {
-    own: Vec<(&'static str, f64, Aim)>,
+    own: Vec<(&'static str, Option<f64>, Aim)>,
     /// What is no figure: words and tables.
     notes: Vec<(&'static str, Value)>,
     /// The same by phase.
@@ -107,25 +108,22 @@
 }
 
 impl Figures {
-    pub fn put(&mut self, key: &'static str, value: f64, aim: Aim) {
-        self.own.push((key, value, aim));
+    /// A figure that nothing was measured for (none, or no number) fails the trial, whatever its aim, also where it is only
+    /// told: guards against a zero that stands for no data.
+    pub fn put(&mut self, key: &'static str, value: impl Into<Option<f64>>, aim: Aim) {
+        self.own.push((key, value.into().filter(|value| value.is_finite()), aim));
     }
 
-    pub fn told(&mut self, key: &'static str, value: f64) {
+    pub fn told(&mut self, key: &'static str, value: impl Into<Option<f64>>) {
         self.put(key, value, Aim::Told);
     }
 
-    /// One that may be missing: then it holds nothing, whatever its aim.
-    pub fn measured(&mut self, key: &'static str, value: Option<f64>, aim: Aim) {
-        self.put(key, value.unwrap_or(f64::NAN), aim);
-    }
-
     pub fn note(&mut self, key: &'static str, value: Value) {
         self.notes.push((key, value));
     }
 
     fn hold(&self) -> bool {
-        let own = self.own.iter().all(|(_, value, aim)| aim.holds(*value));
+        let own = self.own.iter().all(|(_, value, aim)| value.is_some_and(|value| aim.holds(value)));
         own && self.phases.iter().all(|(_, figures)| figures.hold())
     }
 
@@ -144,7 +142,10 @@
 
     fn put_into(&self, object: &mut Map<String, Value>) {
         for (key, value, _) in &self.own {
-            let value = shown(*value);
+            let Some(value) = value.map(shown) else {
+                object.insert((*key).into(), Value::Null);
+                continue;
+            };
             let whole = value.fract() == 0.0 && value.abs() < 1e15;
             let value: Value = if whole { (value as i64).into() } else { value.into() };
             object.insert((*key).into(), value);
@@ -168,12 +169,14 @@
         });
         let own = self.own.iter().map(|(key, value, aim)| (key.to_string(), *value, *aim));
         for (key, value, aim) in own.chain(phases) {
-            let verdict = match aim {
-                Aim::Told => "",
-                _ if aim.holds(value) => "held",
+            let verdict = match (value, aim) {
+                (None, _) => "FELL SHORT",
+                (Some(_), Aim::Told) => "",
+                (Some(value), _) if aim.holds(value) => "held",
                 _ => "FELL SHORT",
             };
-            table.add_row([key, shown(value).to_string(), aim.text(), verdict.into()]);
+            let measured = value.map_or("no data".into(), |value| shown(value).to_string());
+            table.add_row([key, measured, aim.text(), verdict.into()]);
         }
         table
     }
@@ -195,7 +198,7 @@
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 12] = [
+const TRIALS: [(&str, &str, Run); 13] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -256,6 +259,11 @@
         "simulated groups: --members 9|90|900 --seeds N; promises, times and bytes as they grow",
         group_model::run,
     ),
+    (
+        "changes-model",
+        "simulated changes: the mechanism, the leader to all, gossip; --members N --seeds N; times, bytes, hands as they grow",
+        changes_model::run,
+    ),
 ];
 
 /// Exit statuses: 0 every claim held, 1 one fell short; an error is a trial that could not run.
--- a/crates/plovershelf-cli/src/trial/scale/judging.rs
+++ b/crates/plovershelf-cli/src/trial/scale/judging.rs
@@ -132,11 +132,11 @@
     }
 
     fn death_known_s(&self) -> Option<f64> {
-        (self.death_known.count() > 0).then(|| self.death_known.most())
+        self.death_known.most()
     }
 
     fn in_force_s_99(&self) -> Option<f64> {
-        (self.in_force.count() > 0).then(|| self.in_force.at(0.99))
+        self.in_force.at(0.99)
     }
 
     /// What grows with the members, by name.
@@ -208,31 +208,31 @@
     figures.told("tenants", wanted.tenants as f64);
     figures.note("ended_by", ended_by.into());
     let share = all.iter().map(|came| came.memory_share).reduce(super::larger).flatten();
-    figures.measured("peak_memory_share", share, Aim::AtMost(super::MEMORY_MOST));
-    figures.measured("machine_busy_share", came.busy_share, Aim::Told);
+    figures.put("peak_memory_share", share, Aim::AtMost(super::MEMORY_MOST));
+    figures.put("machine_busy_share", came.busy_share, Aim::Told);
     figures.note("slopes", slopes(all));
     let [alone, racked, real] = [0, 1, 2].map(|kind| came.cost(kind));
-    figures.measured("control_core_percent", alone.map(|cost| cost.core_percent), aim(1.4));
-    figures.measured("control_memory_mb", alone.map(|cost| cost.memory_mb), aim(32.0));
-    figures.measured("racked_core_percent", racked.map(|cost| cost.core_percent), Aim::Told);
-    figures.measured("racked_memory_mb", racked.map(|cost| cost.memory_mb), Aim::Told);
-    figures.measured("real_core_percent", real.map(|cost| cost.core_percent), Aim::Told);
-    figures.measured("real_memory_mb", real.map(|cost| cost.memory_mb), Aim::Told);
-    figures.measured("control_bytes_a_second", came.bytes, aim(4096.0));
-    figures.measured("leader_bytes_a_second", came.leader_bytes, Aim::Told);
-    figures.measured("links_a_member", came.links, Aim::Told);
+    figures.put("control_core_percent", alone.map(|cost| cost.core_percent), aim(1.4));
+    figures.put("control_memory_mb", alone.map(|cost| cost.memory_mb), aim(32.0));
+    figures.put("racked_core_percent", racked.map(|cost| cost.core_percent), Aim::Told);
+    figures.put("racked_memory_mb", racked.map(|cost| cost.memory_mb), Aim::Told);
+    figures.put("real_core_percent", real.map(|cost| cost.core_percent), Aim::Told);
+    figures.put("real_memory_mb", real.map(|cost| cost.memory_mb), Aim::Told);
+    figures.put("control_bytes_a_second", came.bytes, aim(4096.0));
+    figures.put("leader_bytes_a_second", came.leader_bytes, Aim::Told);
+    figures.put("links_a_member", came.links, Aim::Told);
     figures.told("settled_share", came.settled_share);
     figures.told("deaths", came.deaths as f64);
-    figures.measured("death_known_s_worst", came.death_known_s(), Aim::Told);
+    figures.put("death_known_s_worst", came.death_known_s(), Aim::Told);
     figures.told("deaths_not_known", came.deaths_not_known as f64);
     figures.told("changes", came.changes as f64);
-    figures.measured("change_in_force_s_99", came.in_force_s_99(), aim(4.0));
+    figures.put("change_in_force_s_99", came.in_force_s_99(), aim(4.0));
     figures.put("changes_missed", came.changes_missed as f64, none);
     figures.told("changes_not_agreed", came.changes_not_agreed as f64);
     figures.put("two_at_one_number", came.two_at_one_number as f64, none);
     figures.put("healthy_put_out", came.healthy_put_out as f64, none);
-    figures.measured("added_ms_99", came.added_ms, aim(1.1));
-    figures.measured("added_ms_99_off", came.added_off_ms, Aim::Told);
+    figures.put("added_ms_99", came.added_ms, aim(1.1));
+    figures.put("added_ms_99_off", came.added_off_ms, Aim::Told);
     figures.told("questions", came.asked as f64);
     figures.told("unanswered", came.unanswered as f64);
     figures.put("rules_broken", all.iter().map(|came| came.rules_broken).sum::<u64>() as f64, none);
--- a/crates/plovershelf-model/src/changes/told.rs
+++ b/crates/plovershelf-model/src/changes/told.rs
@@ -79,7 +79,10 @@
     }
     /// Milliseconds; none where no change was in force anywhere.
     pub fn in_force_at(&self, share: f64) -> Option<f64> {
-        (self.in_force_ms.count() > 0).then(|| self.in_force_ms.at(share))
+        self.in_force_ms.at(share)
+    }
+    pub fn in_force_worst(&self) -> Option<f64> {
+        self.in_force_ms.most()
     }
 }
 
