--- a/crates/plovershelf-changes/tests/properties.rs
+++ b/crates/plovershelf-changes/tests/properties.rs
@@ -4,7 +4,7 @@
 
 use net::Net;
 use plovershelf_changes::content::Content;
-use plovershelf_changes::node::Terms;
+use plovershelf_changes::node::{Role, Terms};
 use rand::RngExt;
 
 #[test]
@@ -21,7 +21,15 @@
         assert!(last - from < 200.0, "{version} after {}", last - from);
     }
     net.check();
-    println!("{}", net.show());
+    for at in 3..63 {
+        let parent = net.node(at).status(net.now).parent.unwrap();
+        let parent = net.slots.iter().find(|slot| slot.address == parent).unwrap();
+        let near = match net.node(at).is_relay() {
+            true => parent.role == Role::Source && parent.region == net.slots[at].region,
+            false => parent.zone == net.slots[at].zone,
+        };
+        assert!(near, "{at} hears from far\n{}", net.show());
+    }
     let sums: Vec<_> = (0..3).map(|at| net.node(at).status(net.now)).collect();
     assert_eq!(sums.iter().map(|sum| sum.under).sum::<u64>(), 60);
     assert_eq!(sums.iter().map(|sum| sum.in_force).sum::<u64>(), 60);
