--- a/crates/plovershelf-changes/src/attach.rs
+++ b/crates/plovershelf-changes/src/attach.rs
@@ -12,6 +12,7 @@
 //! | Attached | parent silent, refuses, leaves, link lost; or its spare has newer | a leaf: Attaching, at its spare, then others near; a relay: Attaching, at another source |
 //! | Attached | a relay that nobody hears from for long | Seeking, as a leaf again |
 //! | Attached | a leaf whose relay feeds more than its fan-out and sends it elsewhere | Seeking |
+//! | Attached | a relay whose source sends it to a nearer one, or to one that feeds far fewer | Attaching, at that one |
 //! | Attaching, as a relay | refused by each source, twice | no relay any more: its children are told, Waiting |
 //!
 //! A relay attaches to sources only and a leaf feeds nobody, so no circle of parents can come about. In all states what is
@@ -197,6 +198,12 @@
         let to = std::iter::once(parent).chain(others).collect();
         self.attach(now, to, true, rng)
     }
+    /// Sent to another source, as a relay.
+    pub fn elsewhere(&mut self, now: f64, to: SocketAddr, rng: &mut Pcg32) -> Option<Step> {
+        let others = self.sources.iter().copied().filter(|at| *at != to);
+        let to = std::iter::once(to).chain(others).collect();
+        self.attach(now, to, true, rng)
+    }
     /// Whom it hears from, or went to, does not answer, refuses or is lost.
     pub fn failed(&mut self, now: f64, at: SocketAddr, refused: bool, rng: &mut Pcg32) -> Option<Step> {
         match self.state.clone() {
--- a/crates/plovershelf-changes/src/message.rs
+++ b/crates/plovershelf-changes/src/message.rs
@@ -104,8 +104,9 @@
         last: bool,
     },
     Sum(Sum),
-    /// From a relay that feeds more than its fan-out, as another died: ask a source again.
-    Elsewhere,
+    /// From a relay that feeds more than its fan-out, as another died: ask a source again. From a source to a relay that is
+    /// nearer to another source, or when that feeds far fewer: attach there.
+    Elsewhere(Option<SocketAddr>),
     /// From a source: these, named as missing, attached elsewhere since.
     Found(Vec<String>),
     /// Between sources: who attached lately, and where.
--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -299,9 +299,15 @@
                 self.hear_part(now, from, (version, digest), after, entries, last);
             }
             Message::Sum(sum) => self.hear_sum(now, from, sum),
-            Message::Elsewhere if parent && !self.up.relay => {
+            Message::Elsewhere(to) if parent => {
+                let step = match to {
+                    Some(to) if self.up.relay && self.up.is_source(to) => {
+                        self.up.elsewhere(now, to, &mut self.rng)
+                    }
+                    None if !self.up.relay => self.up.seek(now, None),
+                    _ => return,
+                };
                 self.send(from, Message::Leave);
-                let step = self.up.seek(now, None);
                 self.unattached();
                 self.step(now, step);
             }
@@ -483,6 +489,12 @@
             return;
         }
         self.due.near = now + self.terms.near_ms;
+        if now >= self.due.rebalance {
+            self.due.rebalance = now + self.rng.random_range(1.0..2.0) * self.terms.rebalance_ms;
+            if let Some((child, to)) = self.spread.better(now, &self.about, &self.terms) {
+                self.send(child, Message::Elsewhere(Some(to)));
+            }
+        }
         for _ in 0..4.min(self.spread.children.len()) {
             let Some(child) = self.spread.in_turn() else { break };
             self.joined.add(now, &child, self.about.address);
@@ -561,7 +573,7 @@
         } else if now >= self.due.rebalance {
             self.due.rebalance = now + self.terms.rebalance_ms;
             let last = self.spread.children.last().map(|child| child.address);
-            last.into_iter().for_each(|last| self.send(last, Message::Elsewhere));
+            last.into_iter().for_each(|last| self.send(last, Message::Elsewhere(None)));
         }
         if !self.up.relay || !self.spread.children.is_empty() {
             self.idle_since = now;
--- a/crates/plovershelf-changes/src/spread.rs
+++ b/crates/plovershelf-changes/src/spread.rs
@@ -49,6 +49,8 @@
     turn: usize,
 }
 
+/// By how many relays two sources of a region may differ.
+const SLACK: usize = 4;
 const PROMISE_MS: f64 = 2000.0;
 /// Others near that a child is told of.
 const NEAR_MOST: usize = 4;
@@ -238,6 +240,23 @@
         near.truncate(NEAR_MOST * 2);
         near
     }
+    /// Of a source: a relay that is nearer to another source, or one of many where another feeds far fewer; and that other.
+    pub fn better(&self, now: f64, own: &About, terms: &Terms) -> Option<(SocketAddr, SocketAddr)> {
+        let live = self.peers.iter().filter(|peer| peer.heard_at + 3.0 * terms.near_ms > now);
+        let room = live.filter(|peer| peer.relays.len() < terms.source_fan_out && peer.about.is_some());
+        let of = |peer: &&Peer, region: &str| peer.about.as_ref().is_some_and(|about| about.region == region);
+        let peers: Vec<&Peer> = room.collect();
+        let far = self.children.iter().filter(|child| child.about.region != own.region);
+        let mut nearer = far.filter_map(|child| {
+            let peer = peers.iter().find(|peer| of(peer, &child.about.region))?;
+            Some((child.address, peer.address))
+        });
+        nearer.next().or_else(|| {
+            let fewer =
+                |peer: &&&Peer| peer.relays.len() + SLACK < self.children.len() && of(peer, &own.region);
+            Some((self.children.last()?.address, peers.iter().find(fewer)?.address))
+        })
+    }
     /// Of a source: all sources, those of this region first.
     pub fn sources(&self, own: SocketAddr, own_about: &About, region: &str) -> Vec<SocketAddr> {
         let mut all = vec![(own_about.region != region, own)];
--- a/crates/plovershelf-changes/src/terms.rs
+++ b/crates/plovershelf-changes/src/terms.rs
@@ -31,7 +31,7 @@
     pub start_spread_ms: f64,
     /// How often sources tell of relays.
     pub near_ms: f64,
-    /// How often a relay that feeds more than its fan-out sends one of them elsewhere.
+    /// How often one that feeds too many, or a source that is not the nearest, sends one of them elsewhere.
     pub rebalance_ms: f64,
     /// A relay that feeds nobody for so long is a leaf again.
     pub leaf_again_ms: f64,
--- a/crates/plovershelf-changes/tests/node.rs
+++ b/crates/plovershelf-changes/tests/node.rs
@@ -252,6 +252,27 @@
     assert!(net.behind().is_empty() && net.broken.is_empty());
 }
 
+#[test]
+fn a_source_that_is_back_has_the_relays_of_its_region_again_and_its_share() {
+    let mut net = Net::new(9, 3, 300, 4, Terms::default());
+    net.run(3000.0);
+    let fed = |net: &Net| (0..3).map(|at| net.node(at).status(0.0).children).collect::<Vec<_>>();
+    for back in [2, 0] {
+        net.kill(back, false);
+        net.run(net.now + 4000.0);
+        net.start(back, None);
+        net.run(net.now + 240_000.0);
+        for at in 3..303 {
+            let parent = net.node(at).status(net.now).parent.unwrap();
+            let parent = net.slots.iter().find(|slot| slot.address == parent).unwrap();
+            assert_eq!(parent.region, net.slots[at].region, "{at}\n{}", net.show());
+        }
+        let fed = fed(&net);
+        assert!(fed[0].abs_diff(fed[1]) <= 5 && fed[2] > 0, "{fed:?}");
+    }
+    assert!(net.behind().is_empty() && net.broken.is_empty());
+}
+
 #[test]
 fn a_process_that_is_back_elsewhere_is_not_missing() {
     let mut net = Net::new(6, 3, 60, 4, Terms::default());
@@ -395,7 +416,7 @@
             })
         }
         15 => Message::Check,
-        19 => Message::Elsewhere,
+        19 => Message::Elsewhere(rng.random_bool(0.5).then(|| address(rng))),
         16 => Message::Checked(newest(rng)),
         17 => Message::Found((0..rng.random_range(0..10)).map(|_| name(rng)).collect()),
         18 => Message::Joined((0..rng.random_range(0..100)).map(|_| (name(rng), address(rng))).collect()),
