--- a/crates/plovershelf-group/src/group.rs
+++ b/crates/plovershelf-group/src/group.rs
@@ -23,7 +23,7 @@
 use crate::members::{self, About, Condition, Members, Whereto};
 
 /// Major and minor of what members say to each other.
-pub const VERSION: (u16, u16) = (2, 0);
+pub const VERSION: (u16, u16) = (3, 0);
 
 /// Spans in milliseconds, counts.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/plovershelf-group/src/members.rs
+++ b/crates/plovershelf-group/src/members.rs
@@ -13,6 +13,13 @@
 //! | `Dead` | its own word of a higher stand: `Alive`; forgotten after a while |
 //! | `Left` | forgotten after a while |
 //!
+//! Three ways carry news, each for what the others are bad at. What changed is told at once to a few ([`Message::Tell`]), who
+//! tell a few others: so a death is known within moments. It goes along with probes, least told first and what is no mere
+//! life before all else: so it comes to those that the first way missed, also while hundreds join. And a member compares
+//! sums with another one now and then ([`Message::Sums`]) and hands over the parts that differ: so one that joins has all
+//! within moments, and what both other ways lost is put right. What came by the last way is not told on: guards against
+//! hundreds of joins that all tell each other of for minutes, before which a death has to wait.
+//!
 //! News of one member are ordered by its stand, which it alone raises, then by condition, so that all come to hold the same.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -83,11 +90,20 @@
         nonce: u64,
         news: Vec<News>,
     },
-    /// Part of what is known, for one that may have missed it; asks for the same back.
-    Exchange {
+    /// Something changed just now.
+    Tell {
         news: Vec<News>,
+    },
+    /// Sums of what is known of the living, by parts: where they differ this asks for what the other knows, and, with
+    /// `answer`, for its sums.
+    Sums {
+        sums: Vec<u32>,
         answer: bool,
     },
+    /// What is known in parts whose sums differ.
+    Part {
+        news: Vec<News>,
+    },
 }
 
 /// Spans in milliseconds, counts.
@@ -106,9 +122,13 @@
     /// Pieces of news in one message, members that are known at once.
     pub news: usize,
     pub members: usize,
-    /// Between two exchanges with one of all members; how many it tells of.
+    /// Between two comparisons with one of all members, and where much differed; members in one message.
     pub exchange_ms: f64,
+    pub exchange_soon_ms: f64,
     pub exchange: usize,
+    /// How many are told at once of what changed; between two such tellings.
+    pub tell: usize,
+    pub tell_ms: f64,
     /// Between two tries to reach one that is held for dead, or a seed.
     pub knock_ms: f64,
     pub forget_ms: f64,
@@ -126,7 +146,10 @@
             news: 6,
             members: 2000,
             exchange_ms: 5000.0,
+            exchange_soon_ms: 500.0,
             exchange: 40,
+            tell: 3,
+            tell_ms: 200.0,
             knock_ms: 500.0,
             forget_ms: 600_000.0,
         }
@@ -182,6 +205,11 @@
     probe_at: f64,
     exchange_at: f64,
     knock_at: f64,
+    /// When others are told of what changed, where something did; and when they were last.
+    tell_at: f64,
+    told_at: f64,
+    /// Orders news that was told as often, differently at each member: else all tell the same few first.
+    salt: u64,
     /// 0 while probes are answered; each that is not adds one.
     doubt: f64,
     chance: Pcg32,
@@ -194,6 +222,11 @@
 const SHARED_MOST: usize = 3;
 /// Probes out at once, own and others'.
 const PROBES_MOST: usize = 256;
+/// Parts that sums are formed of, and messages that answer one comparison: with some left the next one brings them.
+const PARTS: usize = 64;
+const PART_MESSAGES_MOST: usize = 8;
+/// Where more parts differ the next comparison follows soon, as it does while they bring members that were not known.
+const DIFFER_MUCH: usize = PARTS / 4;
 
 impl Members {
     pub fn new(about: About, terms: Terms, seeds: Vec<SocketAddr>, seed: u64, now: f64) -> Self {
@@ -203,6 +236,7 @@
             News { about, stand: 1, fit: true, leaving: false, life: 0, condition: Condition::Alive, by };
         let first = chance.random::<f64>();
         me.life = chance.random();
+        let salt = me.life | 1;
         Members {
             me,
             terms,
@@ -216,6 +250,9 @@
             probe_at: now + terms.period_ms * first,
             exchange_at: now + terms.exchange_ms * first,
             knock_at: now,
+            tell_at: f64::INFINITY,
+            told_at: f64::NEG_INFINITY,
+            salt,
             doubt: 0.0,
             chance,
             send: Vec::new(),
@@ -282,7 +319,8 @@
             .values()
             .map(|probe| probe.began + self.terms.answer_ms)
             .fold(f64::INFINITY, f64::min);
-        self.probe_at.min(self.exchange_at).min(self.knock_at).min(answers.max(self.now + 1.0))
+        let own = self.probe_at.min(self.exchange_at).min(self.knock_at).min(self.tell_at);
+        own.min(answers.max(self.now + 1.0))
     }
 
     pub fn take(&mut self) -> (Vec<(Whereto, Message)>, Vec<Change>) {
@@ -307,6 +345,10 @@
             self.exchange_at = now + self.terms.exchange_ms * (0.5 + self.chance.random::<f64>());
             self.exchange();
         }
+        if self.tell_at <= now {
+            (self.tell_at, self.told_at) = (f64::INFINITY, now);
+            self.tell();
+        }
     }
 
     /// The process stood still: what seemed late was not, and those whose time ran out meanwhile get it anew.
@@ -354,10 +396,25 @@
         others.shuffle(&mut self.chance);
         for whereto in others.into_iter().take(8) {
             let news = vec![self.me.clone()];
-            self.send.push((whereto, Message::Exchange { news, answer: false }));
+            self.send.push((whereto, Message::Tell { news }));
         }
     }
 
+    /// What changed goes to a few others; they do the same, so it is everywhere after a few such steps.
+    fn tell(&mut self) {
+        let mut others = self.alive_others();
+        let (few, _) = others.partial_shuffle(&mut self.chance, self.terms.tell);
+        for whereto in few.to_vec() {
+            let news = self.news_for(whereto.id);
+            self.send.push((whereto, Message::Tell { news }));
+        }
+    }
+
+    /// Others hear of a change soon; of many in a row together, so that a zone that dies is no flood.
+    fn tell_soon(&mut self) {
+        self.tell_at = self.tell_at.min((self.told_at + self.terms.tell_ms).max(self.now));
+    }
+
     /// A sender that is not known says nothing by itself; it is asked for what it is.
     pub fn hear(&mut self, now: f64, from: Id, at: SocketAddr, message: Message) {
         self.now = now;
@@ -389,11 +446,13 @@
                 self.learn_all(news);
                 self.answered_through(nonce);
             }
-            Message::Exchange { news, answer } => {
-                self.learn_all(news);
-                if answer {
-                    let news = self.some_news();
-                    self.send.push((back, Message::Exchange { news, answer: false }));
+            Message::Tell { news } => self.learn_all(news),
+            Message::Sums { sums, answer } => self.compare(back, &sums, answer),
+            Message::Part { news } => {
+                let before = self.table.len();
+                news.into_iter().take(self.terms.exchange).for_each(|news| self.learn(news, false));
+                if self.table.len() > before {
+                    self.exchange_soon();
                 }
             }
         }
@@ -477,7 +536,7 @@
             {
                 let by = self.me.about.id;
                 let news = News { condition: Condition::Suspected, by, ..known.news.clone() };
-                self.learn(news);
+                self.learn(news, true);
             }
         }
     }
@@ -499,7 +558,7 @@
             .map(|known| known.news.clone())
             .collect();
         for news in over {
-            self.learn(News { condition: Condition::Dead, by: self.me.about.id, ..news });
+            self.learn(News { condition: Condition::Dead, by: self.me.about.id, ..news }, true);
         }
         let forget = self.now - self.terms.forget_ms;
         let old = |known: &&Known| known.news.condition > Condition::Suspected && known.since <= forget;
@@ -533,8 +592,47 @@
     fn exchange(&mut self) {
         let others = self.alive_others();
         let Some(other) = others.get(self.chance.random_range(0..others.len().max(1))) else { return };
-        let news = self.some_news();
-        self.send.push((*other, Message::Exchange { news, answer: true }));
+        let sums = self.sums().to_vec();
+        self.send.push((*other, Message::Sums { sums, answer: true }));
+    }
+
+    fn exchange_soon(&mut self) {
+        let soon = self.terms.exchange_soon_ms * (0.5 + self.chance.random::<f64>());
+        self.exchange_at = self.exchange_at.min(self.now + soon);
+    }
+
+    /// Of the living alone: the dead are forgotten at different times, and one that joins never hears of them.
+    fn sums(&self) -> [u32; PARTS] {
+        let mut sums = [0u32; PARTS];
+        for news in self.alive() {
+            let said = u64::from(news.stand) << 3 | (news.condition as u64) << 1 | u64::from(news.fit);
+            let sum = &mut sums[part_of(news.about.id)];
+            *sum = sum.wrapping_add(mixed(news.about.id.0 ^ mixed(said ^ news.life)) as u32);
+        }
+        sums
+    }
+
+    /// Hands over what differs, as far as a few messages hold it, beginning anywhere: of several that are asked each tells
+    /// something else.
+    fn compare(&mut self, back: Whereto, sums: &[u32], answer: bool) {
+        let own = self.sums();
+        if sums.len() != PARTS || sums == own {
+            return;
+        }
+        let differ: Vec<bool> = own.iter().zip(sums).map(|(own, other)| own != other).collect();
+        if differ.iter().filter(|differs| **differs).count() > DIFFER_MUCH {
+            self.exchange_soon();
+        }
+        let known = self.table.values().map(|known| &known.news).chain([&self.me]);
+        let mut told: Vec<&News> = known.filter(|news| differ[part_of(news.about.id)]).collect();
+        let most = self.terms.exchange * PART_MESSAGES_MOST;
+        let (some, _) = told.partial_shuffle(&mut self.chance, most);
+        let parts = some.chunks(self.terms.exchange.max(1));
+        let parts: Vec<Vec<News>> = parts.map(|part| part.iter().copied().cloned().collect()).collect();
+        self.send.extend(parts.into_iter().map(|news| (back, Message::Part { news })));
+        if answer {
+            self.send.push((back, Message::Sums { sums: own.to_vec(), answer: false }));
+        }
     }
 
     // ---- news --------------------------------------------------------------------------------------
@@ -550,9 +648,14 @@
         self.table.get(&id).map(|known| known.news.about.address)
     }
 
-    /// How often a piece of news is told.
-    fn times(&self) -> u32 {
-        3 * (self.table.len() as f64 + 2.0).log2().ceil() as u32
+    /// How often a piece of news is told; that one lives a third as often, as comparisons bring that too.
+    fn times(&self, alive: bool) -> u32 {
+        let once = (self.table.len() as f64 + 2.0).log2().ceil() as u32;
+        if alive {
+            once
+        } else {
+            3 * once
+        }
     }
 
     /// What goes along: who this is, what is said of the one that it goes to, then what was told least.
@@ -562,14 +665,22 @@
         let of_it =
             whom.and_then(|id| self.table.get(&id)).filter(|known| known.news.condition != Condition::Alive);
         told.extend(of_it.map(|known| known.news.clone()));
-        let mut least: Vec<(u32, Id)> = self.rumours.iter().map(|(id, times)| (*times, *id)).collect();
+        // What is no mere life goes first: a death does not wait for hundreds that join.
+        let order = |(id, times): (&Id, &u32)| {
+            let alive = self.table.get(id).is_none_or(|known| known.news.condition == Condition::Alive);
+            (alive, *times, mixed(id.0 ^ self.salt), *id)
+        };
+        let mut least: Vec<(bool, u32, u64, Id)> = self.rumours.iter().map(order).collect();
+        if least.len() > self.terms.news {
+            least.select_nth_unstable(self.terms.news);
+            least.truncate(self.terms.news);
+        }
         least.sort_unstable();
-        let most = self.times();
-        for (times, id) in least.into_iter().take(self.terms.news) {
+        for (alive, times, _, id) in least {
             if id != self.me.about.id && Some(id) != whom {
                 told.extend(self.table.get(&id).map(|known| known.news.clone()));
             }
-            if times + 1 >= most {
+            if times + 1 >= self.times(alive) {
                 self.rumours.remove(&id);
             } else {
                 self.rumours.insert(id, times + 1);
@@ -578,23 +689,16 @@
         told
     }
 
-    fn some_news(&mut self) -> Vec<News> {
-        let mut all: Vec<Id> = self.table.keys().copied().collect();
-        all.shuffle(&mut self.chance);
-        let some = all.into_iter().take(self.terms.exchange);
-        let mut news: Vec<News> = some.filter_map(|id| Some(self.table.get(&id)?.news.clone())).collect();
-        news.push(self.me.clone());
-        news
-    }
-
     fn learn_all(&mut self, news: Vec<News>) {
         let most = self.terms.exchange + self.terms.news + 2;
-        news.into_iter().take(most).for_each(|news| self.learn(news));
+        news.into_iter().take(most).for_each(|news| self.learn(news, true));
     }
 
-    /// Takes in one piece of news. The one place where a condition changes.
-    fn learn(&mut self, news: News) {
+    /// Takes in one piece of news, and tells it on where that is asked for or its condition is news. The one place where a
+    /// condition changes.
+    fn learn(&mut self, news: News, mut tell_on: bool) {
         let id = news.about.id;
+        let alive = news.condition == Condition::Alive;
         if id == self.me.about.id {
             // What is said of this one and does not fit is refuted.
             let fits = news.condition == Condition::Alive && news.life == self.me.life;
@@ -631,7 +735,9 @@
                 }
                 known.news = news;
                 if condition_changes {
+                    tell_on = true;
                     self.changes.push(Change { id, condition });
+                    self.tell_soon();
                 }
             }
             None => {
@@ -654,9 +760,15 @@
                 self.changes.push(Change { id, condition });
                 let place = self.chance.random_range(0..=self.round.len());
                 self.round.insert(place, id);
+                if self.table.len() == 1 {
+                    // The first one that it knows tells it of all others.
+                    self.exchange_soon();
+                }
             }
         }
-        self.rumours.insert(id, 0);
+        if tell_on || !alive {
+            self.rumours.insert(id, 0);
+        }
     }
 
     /// A name that comes back with another memory at the same address has lost its folder, or never had one: the old
@@ -665,7 +777,7 @@
         let same = |news: &&News| news.about.name == new.about.name && news.about.id != self.me.about.id;
         let old: Vec<News> = self.alive_at(new.about.address).filter(same).cloned().collect();
         for news in old {
-            self.learn(News { condition: Condition::Dead, by: new.about.id, ..news });
+            self.learn(News { condition: Condition::Dead, by: new.about.id, ..news }, true);
         }
     }
 
@@ -681,6 +793,7 @@
     fn speak_up(&mut self, over: u32) {
         self.me.stand = self.me.stand.max(over) + 1;
         self.rumours.insert(self.me.about.id, 0);
+        self.tell_soon();
     }
 }
 
@@ -689,3 +802,18 @@
     let suspected = news.condition == Condition::Suspected;
     suspected.then_some(news.by).into_iter().collect()
 }
+
+/// Which part of the sums tells of it.
+fn part_of(id: Id) -> usize {
+    (mixed(id.0) >> 32) as usize % PARTS
+}
+
+/// Spreads bits, alike on every machine (the last steps of splitmix64).
+fn mixed(value: u64) -> u64 {
+    let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/plovershelf-model/tests/groups.rs
+++ b/crates/plovershelf-model/tests/groups.rs
@@ -230,3 +230,23 @@
     let numbers: Vec<&u64> = came.recovered.iter().flatten().collect();
     assert!(numbers.len() <= 2, "{:?}", came.recovered);
 }
+
+/// Of those that start all at once each knows all within seconds, a death is known by all within 4 s, and at rest a member
+/// spends no more than 4 KB a second.
+#[test]
+fn a_hundred_and_twenty_that_start_at_once_know_all_and_soon_of_each_death() {
+    let came = World::run(Plan::growing(120, 3, 5, 3));
+    assert!(came.audit.broken.is_empty(), "{:?}", came.audit.broken);
+    let grown = &came.grown;
+    assert!(grown.all_know_all_ms.is_some_and(|ms| ms < 5000.0), "{grown:?}");
+    assert!(grown.calm_bytes.is_some_and(|bytes| bytes > 0.0 && bytes <= 4096.0), "{grown:?}");
+    assert_eq!((came.known_ms.count(), came.deaths_not_known), (3, 0));
+    assert!(came.known_ms.most().is_some_and(|ms| ms <= 4000.0), "{:?}", came.known_ms.most());
+    assert!(came.healthy_put_out.is_empty(), "{:?}", came.healthy_put_out);
+}
+
+#[test]
+fn a_death_that_is_over_before_all_know_is_counted_and_no_time_is_told() {
+    let came = nine("5000 300 kill n5\n");
+    assert_eq!((came.known_ms.count(), came.known_ms.most(), came.deaths_not_known), (0, None, 1));
+}
