--- a/crates/plovershelf-model/examples/slopes.rs
+++ b/crates/plovershelf-model/examples/slopes.rs
@@ -140,8 +140,10 @@
         let each = bytes_each(100, |own| {
             let mut members =
                 Members::new(about(own + 2000), MembersTerms::default(), Vec::new(), own as u64 + 1, 0.0);
-            let all = (0..size).map(news).collect();
-            members.hear(1.0, about(0).id, address(0), Probe::Exchange { news: all, answer: false });
+            let all: Vec<News> = (0..size).map(news).collect();
+            for part in all.chunks(MembersTerms::default().exchange) {
+                members.hear(1.0, about(0).id, address(0), Probe::Part { news: part.to_vec() });
+            }
             (members, seats(size))
         });
         rows.extend(each.map(|each| (size as f64, each)));
@@ -202,11 +204,10 @@
         envelope(Say::Probe { message: Probe::Ping { nonce: u64::MAX / 3, news }, heading })
     };
     println!("probes: a ping with no news, with six | bytes | {}, {}", probe(0), probe(6));
-    let exchange = |pieces: usize| {
-        let message = Probe::Exchange { news: (0..pieces).map(news).collect(), answer: true };
-        envelope(Say::Probe { message, heading })
-    };
-    println!("membership: an exchange of forty | bytes | {}", exchange(40));
+    let sums = Probe::Sums { sums: vec![u32::MAX / 3; 64], answer: true };
+    let part = Probe::Part { news: (0..MembersTerms::default().exchange).map(news).collect() };
+    let [sums, part] = [sums, part].map(|message| envelope(Say::Probe { message, heading }));
+    println!("membership: a comparison, a part of forty | bytes | {sums}, {part}");
 
     let whole = |size: usize| {
         let state = Decided { view: seats(size), ..Decided::default() };
