A process that is told to leave tells those it hears from and feeds

Cause: one that ended on notice stood under MISSING for ten minutes, and its children waited for its silence. The carrier says that it leaves and ends; control processes too. Test: after SIGTERM nobody is heard of and nobody missing.

--- a/crates/plovershelf-server/src/changes.rs
+++ b/crates/plovershelf-server/src/changes.rs
@@ -46,6 +46,9 @@
 /// Links that carry nothing for longer than a few beats are not needed.
 const IDLE_MS: u64 = 4000;
 
+/// Until the last messages are written.
+const LEAVES_MS: u64 = 200;
+
 /// What a process that changes are carried to starts with.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -71,6 +74,8 @@
     Heard(Heard),
     Lost(SocketAddr),
     Council(Word),
+    /// The process is about to end: others are told, and the carrier ends.
+    Leave,
 }
 
 impl From<Heard> for Incoming {
@@ -79,10 +84,10 @@
     }
 }
 
-/// Starts a listener's carrier on a thread of its own.
+/// Starts a listener's carrier on a thread of its own, which ends when it is told to leave.
 ///
 /// Errors: its address can't be listened on, or no thread can be had, in one line.
-pub fn start(setup: Setup, name: String, sink: Sink) -> Result<(), String> {
+pub fn start(setup: Setup, name: String, sink: Sink) -> Result<Sender<Incoming>, String> {
     let listener = listen(&setup)?;
     on_thread(Begin::of(setup, name, sink), listener)
 }
@@ -125,9 +130,7 @@
     };
     let listener = listen(&setup)?;
     let begin = Begin { held, source: Some((council, kept)), ..Begin::of(setup, name, Sink::Nobody) };
-    let inbox = begin.queue.0.clone();
-    on_thread(begin, listener)?;
-    Ok(inbox)
+    on_thread(begin, listener)
 }
 
 /// What a carrier begins with.
@@ -153,7 +156,8 @@
         .map_err(|error| format!("the listener of changes on {}: {error}", setup.listen))
 }
 
-fn on_thread(begin: Begin, listener: TcpListener) -> Result<(), String> {
+fn on_thread(begin: Begin, listener: TcpListener) -> Result<Sender<Incoming>, String> {
+    let inbox = begin.queue.0.clone();
     let run = move || {
         let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
         match carry(executor, begin, listener) {
@@ -162,7 +166,7 @@
         }
     };
     let thread = std::thread::Builder::new().name("changes".into()).spawn(run);
-    thread.map(drop).map_err(|error| format!("the thread of changes: {error}"))
+    thread.map(|_| inbox).map_err(|error| format!("the thread of changes: {error}"))
 }
 
 /// Links in and out, by how many hear from one and how many may ask it.
@@ -186,7 +190,7 @@
     let bounds = bounds(role, &setup.terms);
     let (lost, broken) = async_channel::bounded(LOST);
     let links = Links::new(executor, &setup.group, BTreeMap::new(), bounds, Some(lost));
-    let listening = links::accept(executor, listener, Rc::from(setup.group.as_str()), inbox.clone(), bounds);
+    let listening = links::accept(executor, listener, Rc::from(setup.group.as_str()), inbox, bounds);
     let about = About {
         name: name.clone(),
         zone: setup.zone,
@@ -202,8 +206,7 @@
         source: source.map(|(council, kept)| Source::new(council, kept)),
         notes: (0, 0),
     };
-    // It holds no sender of its own queue, so those who read links end with it.
-    drop(inbox);
+    // Those who read links end when nobody takes from the queue any more.
     let listening = executor.spawn(listening);
     Ok(async move {
         carrier.run(incoming, broken).await;
@@ -234,6 +237,12 @@
             let event = future::or(heard, future::or(lost, time)).await;
             self.tick();
             for event in event.into_iter().chain(std::iter::from_fn(|| incoming.try_recv().ok()).take(64)) {
+                if matches!(event, Incoming::Leave) {
+                    self.node.leave();
+                    self.carry_out();
+                    Timer::after(Duration::from_millis(LEAVES_MS)).await;
+                    return;
+                }
                 self.take(event);
                 self.carry_out();
             }
@@ -268,6 +277,7 @@
                 Wire::Say(_) | Wire::Answer(_) | Wire::Part { .. } => {}
             },
             Incoming::Heard(Heard::Odd(what)) => self.note(&what),
+            Incoming::Leave => {}
             Incoming::Lost(address) => self.node.lost(now, address),
             Incoming::Council(word) => match self.source.as_mut().and_then(|source| source.hear(word)) {
                 Some(Ok(change)) => self.node.agreed(now, change),
--- a/crates/plovershelf-server/src/group.rs
+++ b/crates/plovershelf-server/src/group.rs
@@ -317,13 +317,18 @@
                 }
             }
             // With copies it stays a member until what it holds stands elsewhere; without any it goes at once.
-            Incoming::Leave { within_ms } => match self.copies.as_mut() {
-                Some(copies) => {
-                    copies.leave(now, now + within_ms);
-                    self.group.drain(now);
+            Incoming::Leave { within_ms } => {
+                if let Some(carrier) = self.carrier.take() {
+                    let _ = carrier.try_send(changes::Incoming::Leave);
                 }
-                None => self.group.leave(now),
-            },
+                match self.copies.as_mut() {
+                    Some(copies) => {
+                        copies.leave(now, now + within_ms);
+                        self.group.drain(now);
+                    }
+                    None => self.group.leave(now),
+                }
+            }
         }
         self.carry_out();
     }
--- a/crates/plovershelf-server/src/lib.rs
+++ b/crates/plovershelf-server/src/lib.rs
@@ -79,10 +79,11 @@
         };
         executor.spawn(hand_on).detach();
     }
-    let hears_changes = changes.is_some();
+    let mut carried = None;
     if let Some(file) = changes {
         let (told, in_force) = async_channel::bounded(1);
-        changes::start(changes::Setup::of(file), launch.name.clone(), changes::Sink::Quotas(told))?;
+        let sink = changes::Sink::Quotas(told);
+        carried = Some(changes::start(changes::Setup::of(file), launch.name.clone(), sink)?);
         let events = events.clone();
         let hand_on = async move {
             while let Ok(told) = in_force.recv().await {
@@ -91,6 +92,7 @@
         };
         executor.spawn(hand_on).detach();
     }
+    let hears_changes = carried.is_some();
     let offerings = launch.start.offerings.clone();
     let agent = agent::keep_link(peers.agent.clone(), agent_moved, events.clone(), limits.clone());
     executor.spawn(agent).detach();
@@ -119,6 +121,9 @@
                     let within_ms = (stop_ms - 2.0 * limits_told.exit_early_ms).max(0.0);
                     let _ = in_group.try_send(group::Incoming::Leave { within_ms });
                 }
+                if let Some(carried) = &carried {
+                    let _ = carried.try_send(changes::Incoming::Leave);
+                }
                 let _ = give_notice.try_send(owner::unix_ms());
             }
         }
--- a/crates/plovershelf-server/tests/changes.rs
+++ b/crates/plovershelf-server/tests/changes.rs
@@ -276,6 +276,12 @@
     let Some(Told::History(changes)) = ask(backend.at, &Ask::History) else { panic!("a history") };
     let newest = changes.last().expect("a change");
     assert_eq!(newest.edits, [set("acme", [8.0, 9.0][won[0]])]);
+    // One that is told to leave is not missing.
+    backend.signal("TERM");
+    until("nobody is heard of, and nobody missing", || {
+        let all = stage.reports(&[]).unwrap_or_default();
+        all.len() == SOURCES && all.iter().all(|one| one.node.under == 0 && one.node.missing.is_empty())
+    });
 }
 
 #[test]
