--- a/crates/plovershelf-server/src/changes.rs
+++ b/crates/plovershelf-server/src/changes.rs
@@ -84,10 +84,15 @@
     }
 }
 
-/// Starts a listener's carrier on a thread of its own, which ends when it is told to leave.
+/// Starts a listener's carrier on a thread of its own.
 ///
 /// Errors: its address can't be listened on, or no thread can be had, in one line.
-pub fn start(setup: Setup, name: String, sink: Sink) -> Result<Sender<Incoming>, String> {
+pub fn start(setup: Setup, name: String, sink: Sink) -> Result<(), String> {
+    start_until_told(setup, name, sink).map(drop)
+}
+
+/// The same; it ends when it is told to leave.
+pub(crate) fn start_until_told(setup: Setup, name: String, sink: Sink) -> Result<Sender<Incoming>, String> {
     let listener = listen(&setup)?;
     on_thread(Begin::of(setup, name, sink), listener)
 }
--- a/crates/plovershelf-server/src/lib.rs
+++ b/crates/plovershelf-server/src/lib.rs
@@ -83,7 +83,7 @@
     if let Some(file) = changes {
         let (told, in_force) = async_channel::bounded(1);
         let sink = changes::Sink::Quotas(told);
-        carried = Some(changes::start(changes::Setup::of(file), launch.name.clone(), sink)?);
+        carried = Some(changes::start_until_told(changes::Setup::of(file), launch.name.clone(), sink)?);
         let events = events.clone();
         let hand_on = async move {
             while let Ok(told) = in_force.recv().await {
