--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -112,6 +112,7 @@
     flush_least: f64,
     /// Nothing is fetched before.
     pull: f64,
+    rebalance: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -178,6 +179,7 @@
                 flush: None,
                 flush_least: now,
                 pull: now,
+                rebalance: now,
             },
             called_at: now,
             out: Out::default(),
@@ -297,6 +299,18 @@
                 self.hear_part(now, from, (version, digest), after, entries, last);
             }
             Message::Sum(sum) => self.hear_sum(now, from, sum),
+            Message::Elsewhere(to) if parent => {
+                let step = match to {
+                    Some(to) if self.up.relay && self.up.is_source(to) => {
+                        self.up.elsewhere(now, to, &mut self.rng)
+                    }
+                    None if !self.up.relay => self.up.seek(now, None),
+                    _ => return,
+                };
+                self.send(from, Message::Leave);
+                self.unattached();
+                self.step(now, step);
+            }
             Message::Found(names) if parent && names.len() <= MISSING_MOST => {
                 names.iter().for_each(|name| self.gone.back(name));
                 self.sum_soon();
@@ -475,6 +489,12 @@
             return;
         }
         self.due.near = now + self.terms.near_ms;
+        if now >= self.due.rebalance {
+            self.due.rebalance = now + self.rng.random_range(1.0..2.0) * self.terms.rebalance_ms;
+            if let Some((child, to)) = self.spread.better(now, &self.about, &self.terms) {
+                self.send(child, Message::Elsewhere(Some(to)));
+            }
+        }
         for _ in 0..4.min(self.spread.children.len()) {
             let Some(child) = self.spread.in_turn() else { break };
             self.joined.add(now, &child, self.about.address);
@@ -547,6 +567,14 @@
         if stale {
             self.due.check = self.due.check.min(now + 1000.0);
         }
+        let over = self.spread.children.len() > self.terms.fan_out;
+        if !over {
+            self.due.rebalance = now + self.rng.random_range(1.0..2.0) * self.terms.rebalance_ms;
+        } else if now >= self.due.rebalance {
+            self.due.rebalance = now + self.terms.rebalance_ms;
+            let last = self.spread.children.last().map(|child| child.address);
+            last.into_iter().for_each(|last| self.send(last, Message::Elsewhere(None)));
+        }
         if !self.up.relay || !self.spread.children.is_empty() {
             self.idle_since = now;
         } else if now - self.idle_since > self.terms.leaf_again_ms {
