--- a/crates/plovershelf-cli/tests/config.rs
+++ b/crates/plovershelf-cli/tests/config.rs
@@ -7,6 +7,7 @@
 
 use plovershelf_server::changes::{self, Setup, Sink};
 use plovershelf_standins::free_address;
+use plovershelf_standins::sources::Sources;
 
 struct Controls {
     folder: PathBuf,
@@ -17,31 +18,13 @@
 impl Controls {
     fn start() -> Self {
         let folder = std::env::temp_dir().join(format!("plovershelf-config-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let free = || free_address().expect("a free port");
-        let (members, at): (Vec<SocketAddr>, Vec<SocketAddr>) = (0..3).map(|_| (free(), free())).unzip();
-        let list = |of: &[SocketAddr]| of.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ");
-        std::fs::write(folder.join("tenants.ini"), "[tenants]\nacme = 1000\n").expect("a file");
-        let mut children = Vec::new();
-        for place in 0..3 {
-            let name = format!("c{}", place + 1);
-            let others: Vec<SocketAddr> = at.iter().copied().filter(|other| *other != at[place]).collect();
-            let text = format!(
-                "[group]\nname = fleet\nlisten = {}\nseeds = {}\ncouncil = c1, c2, c3\nfolder = {}\n\
-                 [changes]\nlisten = {}\nsources = {}\ntenants = {}\n",
-                members[place],
-                list(&members),
-                folder.join(&name).display(),
-                at[place],
-                list(&others),
-                folder.join("tenants.ini").display()
-            );
-            let file = folder.join(format!("{name}.ini"));
-            std::fs::write(&file, text).expect("a file");
-            let mut command = command(&["control", "--name", &name, "--file"]);
-            let child = command.arg(&file).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
-            children.push(child.expect("a process"));
-        }
+        let Sources { files, at } = Sources::write(&folder, "fleet", "acme = 1000\n").expect("files");
+        let start = |file: &PathBuf| {
+            let name = file.file_stem().and_then(|name| name.to_str()).expect("a name");
+            let mut command = command(&["control", "--name", name, "--file", path(file)]);
+            command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("a process")
+        };
+        let children = files.iter().map(start).collect();
         Controls { folder, at, children }
     }
 
--- a/crates/plovershelf-server/tests/changes.rs
+++ b/crates/plovershelf-server/tests/changes.rs
@@ -1,7 +1,6 @@
 //! Changes on real sockets: three sources as processes, a real backend that hears of them, and what is asked of all from outside.
 //! No verdict hangs on the time it took: each waits for a state, a minute at most.
 
-use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -19,8 +18,8 @@
 use plovershelf_server::group::{self, Pulse};
 use plovershelf_standins::free_address;
 use plovershelf_standins::scripted::SETTINGS;
+use plovershelf_standins::sources::{self, Sources, SOURCES};
 
-const SOURCES: usize = 3;
 const SOURCE_FILE: &str = "PLOVERSHELF_TEST_SOURCE";
 
 /// Not a test where it is started as one: the process of a source, which the others start and end.
@@ -73,30 +72,8 @@
     /// Three sources that begin from two tenants.
     fn new(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("plovershelf-changes-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let tenants = folder.join("tenants.ini");
-        std::fs::write(&tenants, "[tenants]\nacme = 1000\nzeta = 5\n").expect("a file");
-        let free = || free_address().expect("a free port");
-        let (members, at): (Vec<SocketAddr>, Vec<SocketAddr>) =
-            (0..SOURCES).map(|_| (free(), free())).unzip();
-        let list = |of: &[SocketAddr]| of.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ");
-        let mut files = Vec::new();
-        for place in 0..SOURCES {
-            let others: Vec<SocketAddr> = at.iter().copied().filter(|other| *other != at[place]).collect();
-            let file = folder.join(format!("c{}.ini", place + 1));
-            let text = format!(
-                "[group]\nname = trial\nlisten = {}\nseeds = {}\ncouncil = c1, c2, c3\nfolder = {}\n\
-                 [changes]\nlisten = {}\nsources = {}\ntenants = {}\n",
-                members[place],
-                list(&members),
-                folder.join(format!("c{}", place + 1)).display(),
-                at[place],
-                list(&others),
-                tenants.display()
-            );
-            std::fs::write(&file, text).expect("a file");
-            files.push(file);
-        }
+        let Sources { files, at } =
+            Sources::write(&folder, "trial", "acme = 1000\nzeta = 5\n").expect("files");
         let mut stage = Stage { folder, files, at, sources: (0..SOURCES).map(|_| None).collect() };
         (0..SOURCES).for_each(|place| stage.start(place));
         stage
@@ -132,7 +109,7 @@
         );
         std::fs::write(&configuration, text).expect("a file");
         let file = self.folder.join(format!("{name}-changes.ini"));
-        let sources = self.at.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ");
+        let sources = sources::list(&self.at);
         let text = format!("[changes]\nname = trial\nlisten = {at}\nzone = a\nsources = {sources}\n");
         std::fs::write(&file, text).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_plovershelf-server"));
@@ -184,19 +161,10 @@
     }
 }
 
-/// Sends these bytes; the first frame that comes back, or none where the link is closed.
+/// The first frame that comes back, or none where the link is closed.
 fn say(at: SocketAddr, bytes: &[u8]) -> Option<Wire> {
-    let mut stream = TcpStream::connect(at).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
-    stream.write_all(bytes).ok()?;
-    let (mut bytes, mut chunk) = (Vec::new(), [0; 4096]);
-    loop {
-        if let Ok(Some((content, _))) = unframed(&bytes) {
-            return decode(content).ok();
-        }
-        let count = stream.read(&mut chunk).ok().filter(|count| *count > 0)?;
-        bytes.extend_from_slice(&chunk[..count]);
-    }
+    let first = |bytes: &[u8]| unframed(bytes).ok()?.and_then(|(content, _)| decode(content).ok());
+    sources::say(at, bytes, first)
 }
 
 fn ask(at: SocketAddr, what: &Ask) -> Option<Told> {
--- a/crates/plovershelf-standins/src/lib.rs
+++ b/crates/plovershelf-standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod plain;
 pub mod rig;
 pub mod scripted;
+pub mod sources;
 pub mod tap;
 pub mod way;
 pub mod work;
