--- a/crates/plovershelf-group/src/members.rs
+++ b/crates/plovershelf-group/src/members.rs
@@ -404,7 +404,7 @@
     fn tell(&mut self) {
         let mut others = self.alive_others();
         let (few, _) = others.partial_shuffle(&mut self.chance, self.terms.tell);
-        for whereto in few.to_vec() {
+        for whereto in few.iter().copied() {
             let news = self.news_for(whereto.id);
             self.send.push((whereto, Message::Tell { news }));
         }
