Changes: a relay that only speaks is no place to be sent to

A relay that hears no source attached over and over and never said a sum; to sources it looked as if it had the most room, so whoever left it was sent back. A relay is handed out once a sum has come since it attached. A listener with old word asks two that are near and then sources, and goes on in that order when it changes its parent.

--- a/crates/plovershelf-changes/src/attach.rs
+++ b/crates/plovershelf-changes/src/attach.rs
@@ -119,12 +119,13 @@
             false => other(&self.near).or_else(|| other(&self.sources)),
         }
     }
-    /// Whom to ask whether a source's word is fresher there, when the parent's is old: the spare, then each other in turn, as
-    /// the spare may hear no source either; at last sources.
+    /// Whom to ask whether a source's word is fresher there, when the parent's is old: the spare, one more that is near, as the
+    /// spare may hear no source either, then sources.
     pub fn other(&self, turn: usize) -> Option<SocketAddr> {
         let near: &[SocketAddr] = if self.relay { &[] } else { &self.near };
-        let others = near.iter().chain(&self.sources).copied().filter(|at| Some(*at) != self.parent());
-        let others: Vec<SocketAddr> = others.collect();
+        let but_parent = |at: &SocketAddr| Some(*at) != self.parent();
+        let near = near.iter().copied().filter(but_parent).take(2);
+        let others: Vec<SocketAddr> = near.chain(self.sources.iter().copied().filter(but_parent)).collect();
         others.get(turn % others.len().max(1)).copied()
     }
     /// This one has what the parent has not: a leaf goes there first. Where it is a source, all that are near are as old.
--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -613,7 +613,7 @@
         self.pull = None;
         self.pull_failed = 0;
         self.parent_newest = None;
-        (self.asked, self.asked_stale) = (None, 0);
+        self.asked = None;
         self.behind = None;
     }
     fn step(&mut self, now: f64, step: Option<Step>) {
--- a/crates/plovershelf-changes/src/spread.rs
+++ b/crates/plovershelf-changes/src/spread.rs
@@ -14,6 +14,9 @@
     pub about: About,
     pub sum: Sum,
     pub heard_at: f64,
+    /// Has said a sum since it attached. One that can send but hears nothing attaches over and over and never does: it looks
+    /// as if it had the most room, and nobody is to be sent there.
+    summed: bool,
     /// Longer than it should, once, as this process itself was stopped.
     waited: bool,
     /// What it was sent, up to this.
@@ -24,7 +27,7 @@
     handed: u32,
 }
 
-/// Told to be a relay, not attached yet.
+/// Told to be a relay, of which no sum has come yet.
 #[derive(Clone, Debug)]
 struct Promised {
     place: Place,
@@ -80,7 +83,6 @@
     }
     /// Fed from now on; one that was here before, in another life too, in its place.
     pub fn add(&mut self, now: f64, address: SocketAddr, about: About, newest: Newest, sent: Version) {
-        self.promised.retain(|promised| promised.place.address != address);
         let before = self.remove(address).filter(|child| child.about.life == about.life);
         let sum = match before {
             Some(before) => before.sum,
@@ -97,6 +99,7 @@
             about,
             sum,
             heard_at: now,
+            summed: false,
             waited: false,
             sent,
             near: Vec::new(),
@@ -105,9 +108,10 @@
     }
     pub fn summed(&mut self, now: f64, address: SocketAddr, sum: Sum) -> bool {
         let Some(child) = self.child(address) else { return false };
-        (child.heard_at, child.waited) = (now, false);
+        (child.heard_at, child.waited, child.summed) = (now, false, true);
         child.handed /= 2;
         child.sum = sum;
+        self.promised.retain(|promised| promised.place.address != address);
         true
     }
     /// This process was stopped for so long: what its children said meanwhile is still to be read.
@@ -134,7 +138,7 @@
     }
     /// Of a source: its own relays, for the others.
     pub fn places(&self) -> Vec<Place> {
-        self.children.iter().take(PLACES_MOST).map(place).collect()
+        self.children.iter().filter(|child| child.summed).take(PLACES_MOST).map(place).collect()
     }
     pub fn told_relays(&mut self, now: f64, from: SocketAddr, about: About, mut relays: Vec<Place>) {
         let Some(peer) = self.peer(from) else { return };
@@ -145,7 +149,7 @@
     }
     /// Every relay known here, with how many it feeds or will: its own, those promised, those of other sources.
     fn relays(&self, now: f64, terms: &Terms) -> Vec<Place> {
-        let own = self.children.iter().map(place);
+        let own = self.children.iter().filter(|child| child.summed).map(place);
         let promised = self.promised.iter().map(|promised| promised.place.clone());
         let live = self.peers.iter().filter(|peer| peer.heard_at + 3.0 * terms.near_ms > now);
         own.chain(promised).chain(live.flat_map(|peer| peer.relays.iter().cloned())).collect()
@@ -178,7 +182,7 @@
         };
         let mut found = pick(terms.fan_out, 0);
         if found.is_empty() {
-            let full = self.children.len() + self.promised.len() >= terms.source_fan_out;
+            let full = self.children.len() + self.promised_only() >= terms.source_fan_out;
             let nearer = self.peers.iter().find(|peer| {
                 let there = peer.about.as_ref().is_some_and(|there| there.region == about.region);
                 there && peer.heard_at + 3.0 * terms.near_ms > now
@@ -207,6 +211,11 @@
         }
         Message::Ways { relays: found, relay: false, over, ask: None }
     }
+    fn promised_only(&self) -> usize {
+        let here =
+            |promised: &&Promised| self.children.iter().any(|child| child.address == promised.place.address);
+        self.promised.iter().filter(|promised| !here(promised)).count()
+    }
     fn promise(&mut self, now: f64, from: SocketAddr, about: &About) {
         self.promised.retain(|promised| promised.place.address != from);
         let (zone, region) = (about.zone.clone(), about.region.clone());
--- a/crates/plovershelf-model/tests/changes.rs
+++ b/crates/plovershelf-model/tests/changes.rs
@@ -61,7 +61,7 @@
         shape.steps = vec![deaf];
         let came = run::<Tree>(&shape, None);
         let worst = came.in_force_worst().expect("changes in force somewhere");
-        assert!(worst < 12_000.0, "{seed}: {worst} {:?}", came.seen);
+        assert!(worst < 6000.0, "{seed}: {worst} {:?}", came.seen);
         assert!(came.missed == 0 && came.broken_count.is_empty(), "{seed}: {:?}", came.broken);
     }
 }
