Scale trial: with the mechanism, relays killed first, next to the group as it stands

The trial told what the group costs, not what numbered changes do instead. Now three hollow founders are sources of changes and all others listen, four real backends among them; changes are proposed to the sources from outside, refused ones again; those that feed others are killed first; who still relies on a dead one and how old a source's word is comes from each process's `config status`.

--- a/crates/plovershelf-cli/src/hollow.rs
+++ b/crates/plovershelf-cli/src/hollow.rs
@@ -8,13 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_executor::LocalExecutor;
 use clap::Args;
+use plovershelf_server::changes::{self, Sink};
 use plovershelf_server::group::{self, Incoming, Pulse};
 use serde_json::Value;
 
 #[derive(Args)]
 pub struct Options {
-    /// A JSON list of members, each with `name` and `file`, the text of its group.ini.
+    /// A JSON list of members, each with `name` and `file`, the text of its group.ini, or of its changes.ini where `listener`
+    /// is true.
     #[arg(long, value_name = "FILE")]
     file: PathBuf,
 }
@@ -63,14 +66,19 @@
     let named = |what: String| format!("{}: {what}", options.file.display());
     let text = std::fs::read_to_string(&options.file).map_err(|error| named(error.to_string()))?;
     let plan: Value = serde_json::from_str(&text).map_err(|error| named(error.to_string()))?;
-    let mut setups = Vec::new();
+    let (mut setups, mut listeners) = (Vec::new(), Vec::new());
     for member in plan.as_array().ok_or_else(|| named("no list of members".into()))? {
         let word = |key: &str| {
             member[key].as_str().ok_or_else(|| named(format!("a member without {key:?}"))).map(str::to_string)
         };
         let (name, file) = (word("name")?, word("file")?);
-        let setup = plovershelf_operator::group::read(&name, &file).map_err(|wrong| wrong.to_string())?;
-        setups.push((name, setup));
+        let wrong = |wrong: plovershelf_operator::Wrong| wrong.to_string();
+        if member["listener"].as_bool().unwrap_or(false) {
+            let listener = plovershelf_operator::changes::read(&name, &file).map_err(wrong)?;
+            listeners.push((name, changes::Setup::of(listener)));
+        } else {
+            setups.push((name.clone(), plovershelf_operator::group::read(&name, &file).map_err(wrong)?));
+        }
     }
     // One for all of them: there is no owner here that could be stuck.
     let pulse = Arc::<Pulse>::default();
@@ -88,6 +96,7 @@
                     let inbox = group::start(setup, name.clone(), pulse.clone(), None)?;
                     members.insert(name, inbox);
                 }
+                listen(std::mem::take(&mut listeners))?;
             }
             Line::Word { member, key, number, bytes } => {
                 let inbox =
@@ -99,5 +108,26 @@
     Ok(0)
 }
 
+/// One listener has a thread to itself, as in a backend; many share one.
+fn listen(mut listeners: Vec<(String, changes::Setup)>) -> Result<(), String> {
+    if listeners.len() < 2 {
+        return listeners.pop().map_or(Ok(()), |(name, setup)| changes::start(setup, name, Sink::Nobody));
+    }
+    let run = move || {
+        let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+        let mut tasks = Vec::new();
+        for (name, setup) in listeners {
+            match changes::run_on(executor, setup, name, Sink::Nobody) {
+                Ok(task) => tasks.push(task),
+                // Whoever watches sees that it is not there.
+                Err(error) => tracing::error!("a listener does not start: {error}"),
+            }
+        }
+        async_io::block_on(executor.run(futures_lite::future::pending::<()>()));
+    };
+    let thread = std::thread::Builder::new().name("listeners".into()).spawn(run);
+    thread.map(drop).map_err(|error| format!("the listeners' thread: {error}"))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/plovershelf-cli/src/trial/scale/accounts.rs
+++ b/crates/plovershelf-cli/src/trial/scale/accounts.rs
@@ -181,7 +181,7 @@
 /// Counts what connections among members carried from its first look to its last. What one carried after the last look at
 /// it is not counted, so looks are to be close together.
 pub struct Tally {
-    port: u16,
+    ports: &'static [u16],
     /// Connections from here are the trial's own questions.
     own: IpAddr,
     /// Processes with one member each, whose connections out are told apart by their inodes.
@@ -197,9 +197,9 @@
 }
 
 impl Tally {
-    pub fn new(port: u16, own: IpAddr, alone: BTreeMap<u32, IpAddr>) -> Self {
+    pub fn new(ports: &'static [u16], own: IpAddr, alone: BTreeMap<u32, IpAddr>) -> Self {
         Tally {
-            port,
+            ports,
             own,
             alone,
             before: BTreeMap::new(),
@@ -220,7 +220,11 @@
             .iter()
             .flat_map(|(id, address)| sockets_of(*id).into_iter().map(|inode| (inode, *address)))
             .collect();
-        let (accepted, made) = (sockets(self.port, true)?, sockets(self.port, false)?);
+        let (mut accepted, mut made) = (Vec::new(), Vec::new());
+        for port in self.ports {
+            accepted.extend(sockets(*port, true)?);
+            made.extend(sockets(*port, false)?);
+        }
         self.take(&accepted, &made, &owners);
         Ok(())
     }
--- a/crates/plovershelf-cli/src/trial/scale/accounts/tests.rs
+++ b/crates/plovershelf-cli/src/trial/scale/accounts/tests.rs
@@ -24,7 +24,7 @@
 #[test]
 fn a_tally_counts_what_grew_and_leaves_out_what_was_there_before_and_the_trials_own() {
     let own = IpAddr::from([127, 99, 0, 1]);
-    let mut tally = Tally::new(7400, own, BTreeMap::new());
+    let mut tally = Tally::new(&[7400], own, BTreeMap::new());
     let member = IpAddr::from([127, 128, 0, 1]);
     tally.take(&[socket(1, 100, 1000)], &[], &BTreeMap::new());
     assert_eq!(tally.of(member), None, "one look tells no difference");
--- a/crates/plovershelf-cli/src/trial/scale/troubles.rs
+++ b/crates/plovershelf-cli/src/trial/scale/troubles.rs
@@ -7,7 +7,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::processes::{Fleet, Kind};
+use plovershelf_changes::content::Edit;
+
+use super::processes::{Fleet, Kind, Mode};
 use super::watch::{Death, Watch, Word, KEY};
 use crate::hollow::Line;
 
@@ -68,25 +70,37 @@
     pub replaced: usize,
     pub racks: usize,
     pub zones: usize,
+    /// Relays among those that were killed.
+    pub relays: usize,
 }
 
 fn died(fleet: &Fleet, watch: &Watch, names: Vec<String>) {
     let at = watch.clock.now();
     let asked = (0..fleet.members.len()).filter(|place| fleet.members[*place].live).collect();
     for name in names {
-        let place = fleet.members.iter().position(|member| member.name == name);
-        place.into_iter().for_each(|place| watch.end(place));
-        let known = Default::default();
-        watch.seen.borrow_mut().deaths.push(Death { name, at, known, asked: Clone::clone(&asked) });
+        let Some(place) = fleet.members.iter().position(|member| member.name == name) else { continue };
+        watch.end(place);
+        let (address, known) = (fleet.members[place].address, Default::default());
+        let death = Death { name, address, at, known, asked: Clone::clone(&asked) };
+        watch.seen.borrow_mut().deaths.push(death);
     }
 }
 
 fn propose(fleet: &mut Fleet, watch: &Watch) -> Result<(), String> {
     let founders = fleet.running(Kind::Founder);
     let stands = |place: &usize| fleet.members[fleet.processes[*place].members[0]].live;
-    let Some(founder) = founders.into_iter().find(stands) else {
+    let founders: Vec<usize> = founders.into_iter().filter(stands).collect();
+    if founders.is_empty() {
         return Err("no founder is left to propose a change".into());
-    };
+    }
+    if fleet.mode == Mode::Changes {
+        let number = watch.seen.borrow().proposed;
+        let at = fleet.members[fleet.processes[founders[number % founders.len()]].members[0]].address;
+        let tenant = tenant_of(number);
+        watch.propose(at, vec![Edit::Set { tenant, quota_per_s: 1e6 + number as f64 + 1.0 }]);
+        return Ok(());
+    }
+    let founder = founders[0];
     let member = fleet.members[fleet.processes[founder].members[0]].name.clone();
     let number = watch.seen.borrow().words.last().map_or(0, |word| word.number) + 1;
     let (key, bytes) = (KEY.to_string(), format!("change-{number}").into_bytes());
@@ -94,6 +108,20 @@
     fleet.processes[founder].say(&Line::Word { member, key, number, bytes })
 }
 
+/// The tenant that a change is about: there are always two.
+fn tenant_of(number: usize) -> String {
+    crate::load::TENANTS[number % crate::load::TENANTS.len()].to_string()
+}
+
+/// Of these processes the one whose members feed most others, the first where none feeds any; and how many it has that do.
+fn feeding(fleet: &Fleet, watch: &Watch, of: &[usize]) -> Option<(usize, usize)> {
+    let seen = watch.seen.borrow();
+    let relays = |place: usize| {
+        fleet.processes[place].members.iter().filter(|member| seen.children(**member) > 0).count()
+    };
+    of.iter().rev().map(|place| (*place, relays(*place))).max_by_key(|(_, relays)| *relays)
+}
+
 /// Plays a schedule; returns when its last trouble has been caused.
 ///
 /// Errors: a process that could not be started or told.
@@ -110,8 +138,10 @@
             Trouble::Burst => (0..BURST).try_for_each(|_| propose(fleet, watch))?,
             Trouble::Kill => {
                 let alone = fleet.running(Kind::Alone);
-                let stands = |place: &&usize| fleet.members[fleet.processes[**place].members[0]].live;
-                let Some(process) = alone.iter().find(stands).copied() else { continue };
+                let stands = |place: &usize| fleet.members[fleet.processes[*place].members[0]].live;
+                let alone: Vec<usize> = alone.into_iter().filter(stands).collect();
+                let Some((process, relays)) = feeding(fleet, watch, &alone) else { continue };
+                done.relays += relays;
                 let names = fleet.kill(process);
                 died(fleet, watch, names);
                 done.kills += 1;
@@ -127,7 +157,10 @@
             }
             Trouble::Replace => {}
             Trouble::Rack => {
-                let Some(process) = fleet.running(Kind::Rack).first().copied() else { continue };
+                let Some((process, relays)) = feeding(fleet, watch, &fleet.running(Kind::Rack)) else {
+                    continue;
+                };
+                done.relays += relays;
                 let names = fleet.kill(process);
                 died(fleet, watch, names);
                 done.racks += 1;
--- a/crates/plovershelf-standins/src/backend.rs
+++ b/crates/plovershelf-standins/src/backend.rs
@@ -48,6 +48,8 @@
     pools: Option<PathBuf>,
     /// The file of its group, and the file whose presence means that its folder takes nothing.
     group: Option<(PathBuf, PathBuf)>,
+    /// The file of the changes that it hears of.
+    changes: Option<PathBuf>,
     /// Its wall clock is off by so much from its next start on.
     pub clock_off_ms: f64,
     /// Stands before its agent where faults are played.
@@ -142,6 +144,7 @@
                 log,
                 pools,
                 group,
+                changes: None,
                 clock_off_ms: 0.0,
                 agent_way,
                 down: 0,
@@ -192,6 +195,9 @@
             command.env("PLOVERSHELF_GROUP", group).env("PLOVERSHELF_TEST_FOLDER_FULL", full);
             command.env("PLOVERSHELF_TEST_CLOCK_OFF_MS", self.clock_off_ms.to_string());
         }
+        if let Some(changes) = &self.changes {
+            command.env("PLOVERSHELF_CHANGES", changes);
+        }
         match &self.log {
             Some(log) => {
                 let file = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
@@ -209,6 +215,11 @@
         self.group = file.map(|file| (file, self.file.with_extension("full")));
     }
 
+    /// From its next start on it hears of changes as this file tells; of none without one.
+    pub fn hears_changes(&mut self, file: Option<PathBuf>) {
+        self.changes = file;
+    }
+
     /// Ends it at once, without notice.
     pub fn kill(&mut self) -> io::Result<()> {
         if let Some(mut child) = self.child.take() {
