Changes: a source beside one with another content under its number proposes nothing

Cause: sources that began from different lists of tenants differ under number 0; a proposal of the wrong one would have been agreed on and, by its digest, in force everywhere. Seen by reading of the shell's part; status said TWO CONTENTS, nothing stopped it. Change: preparing a change asks whether a source that was heard holds another digest under the same version, and names it. Measured: the new test fails without the check.

--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -398,6 +398,15 @@
                 "{name} has {newer} in force, {before} is the newest here; propose when that came here"
             ));
         }
+        // Guards against a source that began from another list: what it proposes would be in force everywhere.
+        let own = self.content.digest() as u64;
+        let forked = |newest: &Newest| newest.version == before && newest.digest != own;
+        if let Some(peer) = self.spread.peers.iter().find(|peer| peer.newest.as_ref().is_some_and(forked)) {
+            let other = peer.address;
+            return Err(format!(
+                "the source at {other} has another content under {before}; mend the one that is wrong, then propose"
+            ));
+        }
         let digest = self.content.check(&edits)?;
         let number = before.number.checked_add(1).ok_or("the numbers of this era are used up")?;
         let version = Version { era: era.max(before.era), number };
--- a/crates/plovershelf-changes/tests/node.rs
+++ b/crates/plovershelf-changes/tests/node.rs
@@ -63,6 +63,17 @@
     assert!(why.contains("no source"), "{why}");
 }
 
+#[test]
+fn a_source_beside_one_that_began_from_another_list_proposes_nothing() {
+    let mut source = start(1, Role::Source);
+    let other = Content::initial([("tenant-1".to_string(), 7.0)]).unwrap();
+    source.hear(1.0, at(2), Message::Beat(newest(&other)));
+    let why = source.prepare(vec![set("tenant-1", 5.0)], None, 1, 7).unwrap_err();
+    assert!(why.contains("127.0.0.2:4000") && why.contains("another content"), "{why}");
+    source.hear(2.0, at(2), Message::Beat(newest(&content())));
+    assert!(source.prepare(vec![set("tenant-1", 5.0)], None, 1, 7).is_ok());
+}
+
 #[test]
 fn a_number_that_is_held_is_not_taken_again_and_another_content_of_it_is_said() {
     let mut source = start(1, Role::Source);
