Trials: no death, no peak, no reconnection is no data, not the best of figures

Where no single death or no stretch without a fault was there to be judged, no memory was read or nobody came back, 0 stood for it and held.

--- a/crates/plovershelf-cli/src/trial/client_restart.rs
+++ b/crates/plovershelf-cli/src/trial/client_restart.rs
@@ -92,9 +92,8 @@
         }
         let mut made: Vec<f64> = first.values().copied().collect();
         made.sort_by(f64::total_cmp);
-        let at =
-            |part: f64| made.get(((made.len() as f64 - 1.0) * part).round() as usize).copied().unwrap_or(0.0);
-        let spread = at(0.99) - at(0.01);
+        let at = |part: f64| made.get(((made.len() as f64 - 1.0) * part).round() as usize).copied();
+        let spread = at(0.99).zip(at(0.01)).map(|(late, early)| late - early);
         let most = made
             .iter()
             .map(|from| made.iter().filter(|at| (*from..from + 100.0).contains(*at)).count())
@@ -135,15 +134,19 @@
         figures.told("clients", CLIENTS as f64);
         figures.told("clients_back", made.len() as f64);
         figures.put("reconnect_spread_ms", spread, Aim::AtLeast(2000.0));
-        figures.put("worst_tenth_second_share", most.unwrap_or(0) as f64 / CLIENTS as f64, Aim::AtMost(0.15));
+        figures.put(
+            "worst_tenth_second_share",
+            most.map(|most| most as f64 / CLIENTS as f64),
+            Aim::AtMost(0.15),
+        );
         figures.told("reconnect_attempts_per_client", (after - before) as f64 / CLIENTS as f64);
         figures.put("calls_without_result", sum.without_result as f64, Aim::AtMost(0.0));
         figures.put("calls_with_two_results", sum.with_two as f64, Aim::AtMost(0.0));
         figures.put("results_late", sum.late as f64, Aim::AtMost(0.0));
         figures.told("calm_share", calm);
         figures.told("seconds_to_full_service", (full - ready) / 1000.0);
-        let beyond = (full - ready - spread) / 1000.0;
-        figures.put("seconds_beyond_the_spread", beyond.max(0.0), Aim::AtMost(3.0));
+        let beyond = spread.map(|spread| ((full - ready - spread) / 1000.0).max(0.0));
+        figures.put("seconds_beyond_the_spread", beyond, Aim::AtMost(3.0));
         figures.put("ran_twice", account.ran_twice().len() as f64, Aim::AtMost(0.0));
         Ok(figures)
     };
--- a/crates/plovershelf-cli/src/trial/copies.rs
+++ b/crates/plovershelf-cli/src/trial/copies.rs
@@ -92,7 +92,7 @@
     dismissed_after_verdict: u64,
     doubt: u64,
     rules_broken: u64,
-    peak_kb: u64,
+    peak_kb: Option<u64>,
     history: Vec<Event>,
 }
 
@@ -288,7 +288,7 @@
         }
         let round_trip_ms = trips.borrow().at(0.5);
         let mut fleet = fleet.into_inner();
-        let peak_kb = fleet.backends.iter().filter_map(|backend| backend.peak_kb()).max().unwrap_or(0);
+        let peak_kb = fleet.backends.iter().filter_map(|backend| backend.peak_kb()).max();
         let mut rules_broken = told.wrong.get() + fleet.account.borrow().ledger_fell;
         for backend in &mut fleet.backends {
             backend.ended();
@@ -362,7 +362,8 @@
     figures.told("served", goodput(with));
     figures.told("without_served", goodput(without));
     figures.put("goodput_ratio", goodput(with) / goodput(without).max(1e-9), goodput_least);
-    figures.put("memory_peak_share", with.peak_kb as f64 / 1024.0 / MEMORY_MB, Aim::AtMost(1.0));
+    let peak_share = with.peak_kb.map(|kb| kb as f64 / 1024.0 / MEMORY_MB);
+    figures.put("memory_peak_share", peak_share, Aim::AtMost(1.0));
     figures.put("rules_broken", with.rules_broken as f64, none);
     figures.put("without_effects_twice", without.effects_twice as f64, Aim::AtLeast(1.0));
     figures.told("without_succeeded_then_other", without.other_after as f64);
--- a/crates/plovershelf-cli/src/trial/group.rs
+++ b/crates/plovershelf-cli/src/trial/group.rs
@@ -190,11 +190,16 @@
 
 struct Judged {
     healthy_put_out: usize,
-    lost_put_out_s: f64,
-    agreed_s: f64,
+    /// None where no single death, or no stretch without a fault, was there to be judged.
+    lost_put_out_s: Option<f64>,
+    agreed_s: Option<f64>,
     views: usize,
 }
 
+fn worse(most: Option<f64>, other: f64) -> Option<f64> {
+    Some(most.map_or(other, |most| most.max(other)))
+}
+
 fn judge(came: &Came, schedule: &Schedule) -> Judged {
     // When each view was first told of, and whose memory is whose.
     let mut first: BTreeMap<u64, (f64, BTreeSet<u64>)> = BTreeMap::new();
@@ -217,7 +222,7 @@
         }
     }
     // Single deaths without any other fault beside them: how long until a view without them.
-    let mut lost_put_out_s = 0.0f64;
+    let mut lost_put_out_s = None;
     for done in came.done.iter().filter(|done| done.begins) {
         let step = &schedule.steps[done.step];
         let Fault::Kill { member, .. } = step.fault else { continue };
@@ -230,10 +235,10 @@
         };
         let out = views.iter().find(|(at, members)| *at > done.at && !members.contains(&look.status.memory));
         let took = out.map_or(f64::INFINITY, |(at, _)| at - done.at);
-        lost_put_out_s = lost_put_out_s.max(took / 1000.0);
+        lost_put_out_s = worse(lost_put_out_s, took / 1000.0);
     }
     // After the last fault of a stretch is over: until all answer with one view that has them all, and may act.
-    let mut agreed_s = 0.0f64;
+    let mut agreed_s = None;
     let mut active = 0i32;
     for (place, done) in came.done.iter().enumerate() {
         active += if done.begins { 1 } else { -1 };
@@ -255,7 +260,7 @@
                 break;
             }
         }
-        agreed_s = agreed_s.max((when - done.at) / 1000.0);
+        agreed_s = worse(agreed_s, (when - done.at) / 1000.0);
     }
     Judged { healthy_put_out, lost_put_out_s, agreed_s, views: first.len() }
 }
