--- a/crates/plovershelf-model/src/changes/world.rs
+++ b/crates/plovershelf-model/src/changes/world.rs
@@ -43,15 +43,34 @@
 }
 
 enum Thing<M> {
-    Message { from: usize, to: usize, from_life: u32, to_life: u32, message: M },
-    Wake { place: usize, life: u32 },
-    Lost { to: usize, life: u32, of: usize },
+    Message {
+        from: usize,
+        to: usize,
+        from_life: u32,
+        to_life: u32,
+        message: M,
+    },
+    Wake {
+        place: usize,
+        life: u32,
+    },
+    Lost {
+        to: usize,
+        life: u32,
+        of: usize,
+    },
     Start(usize),
     Begin(usize),
     End(usize),
     Propose(Vec<Edit>),
-    Agreed { place: usize, life: u32, change: Rc<Numbered> },
+    Agreed {
+        place: usize,
+        life: u32,
+        change: Rc<Numbered>,
+    },
     Second,
+    /// From now on nothing is lost or mangled any more.
+    Quiet,
 }
 
 struct Process<W: Way> {
@@ -160,6 +179,7 @@
             self.queue.put(at, Thing::Propose(edits));
         }
         self.queue.put(1000.0, Thing::Second);
+        self.queue.put(self.shape.span_ms - QUIET_MS, Thing::Quiet);
         while let Some(thing) = self.queue.take_next() {
             if self.queue.now() > self.shape.span_ms {
                 break;
@@ -246,6 +266,7 @@
                 self.propose();
             }
             Thing::Second => self.second(),
+            Thing::Quiet => (self.net.loss, self.shape.mangled) = (0.0, 0.0),
         }
     }
 
