--- a/crates/plovershelf-cli/src/trial/scale/calls.rs
+++ b/crates/plovershelf-cli/src/trial/scale/calls.rs
@@ -37,7 +37,7 @@
 
 impl Added {
     pub fn at_99(&self) -> Option<f64> {
-        (self.ms.count() > 0).then(|| self.ms.at(0.99))
+        self.ms.at(0.99)
     }
 }
 
--- a/crates/plovershelf-cli/src/trial/scale/troubles.rs
+++ b/crates/plovershelf-cli/src/trial/scale/troubles.rs
@@ -133,6 +133,7 @@
         if wait > 0.0 {
             Timer::after(Duration::from_secs_f64(wait / 1000.0)).await;
         }
+        tracing::info!(event = "trouble", at = watch.clock.now(), "{trouble:?}");
         match trouble {
             Trouble::Change => propose(fleet, watch)?,
             Trouble::Burst => (0..BURST).try_for_each(|_| propose(fleet, watch))?,
