Scale trial: bytes over the time between looks, sources settled once they agree

Where one look at all connections took longer than the calm there was a single look and no figure; small runs were measured before the sources had a leader, so that the leader's bytes were missing. Now the last look may end later and its time counts, and a source is settled when its council can agree.

--- a/crates/plovershelf-cli/src/trial/scale.rs
+++ b/crates/plovershelf-cli/src/trial/scale.rs
@@ -89,15 +89,18 @@
 /// Looks at all links of members once a second from now on, for so long, on a thread of its own.
 fn tally(alone: BTreeMap<u32, IpAddr>, span: Duration) -> std::thread::JoinHandle<Result<Tally, String>> {
     std::thread::spawn(move || {
-        let began = std::time::Instant::now();
         let mut tally = Tally::new(&[PORT, CHANGES_PORT], OWN.into(), alone);
+        tally.look()?;
+        let began = std::time::Instant::now();
+        // Where a look takes long, the last one ends later; what counts is the time between the first and the last.
         loop {
-            tally.look()?;
             let left = span.saturating_sub(began.elapsed());
             if left.is_zero() {
                 return Ok(tally);
             }
             std::thread::sleep(left.min(LOOK));
+            tally.look()?;
+            tally.span_ms = began.elapsed().as_secs_f64() * 1000.0;
         }
     })
 }
@@ -176,7 +179,7 @@
         let leads = watch.seen.borrow().latest.iter().find_map(leads);
         let leader = leads.map(|place| fleet.members[place].address.ip());
         let leader = leader.filter(|address| fleet.alone().values().any(|one| one == address));
-        came.count_bytes(&tally, CALM_MS, leader, &fleet);
+        came.count_bytes(&tally, leader, &fleet);
         came.memory_share = larger(came.memory_share, memory_share(&fleet, &real));
 
         watch.rest(false);
--- a/crates/plovershelf-cli/src/trial/scale/accounts.rs
+++ b/crates/plovershelf-cli/src/trial/scale/accounts.rs
@@ -194,6 +194,8 @@
     pub all: Bytes,
     pub links: usize,
     pub looks: u32,
+    /// From the first look to the last.
+    pub span_ms: f64,
 }
 
 impl Tally {
@@ -208,6 +210,7 @@
             all: Bytes::default(),
             links: 0,
             looks: 0,
+            span_ms: 0.0,
         }
     }
 
--- a/crates/plovershelf-cli/src/trial/scale/judging.rs
+++ b/crates/plovershelf-cli/src/trial/scale/judging.rs
@@ -63,13 +63,14 @@
 const PUT_OUT_MS: f64 = 4000.0;
 
 /// Whether a member is where it belongs: it knows of all that there are, has them in its view and may act; or it hears of
-/// changes.
+/// changes; of a source, its council can agree.
 pub fn whole(look: &Look, all: usize) -> bool {
     match look {
         Look::Group(brief) => brief.in_view as usize == all && brief.alive as usize == all && brief.may_act,
-        Look::Changes(report) => {
-            report.source || (report.node.parent.is_some() && report.node.age_ms.is_some())
-        }
+        Look::Changes(report) => match &report.council {
+            Some(council) => council.agrees && council.leader.is_some(),
+            None => report.node.parent.is_some() && report.node.age_ms.is_some(),
+        },
     }
 }
 
@@ -101,11 +102,11 @@
 impl Came {
     /// Takes what links carried over a span. Each byte is one member's sent and another's received. Sources of changes are
     /// no backends, so their part is left out of the mean.
-    pub fn count_bytes(&mut self, tally: &Tally, span_ms: f64, leader: Option<IpAddr>, fleet: &Fleet) {
-        if tally.looks < 2 || span_ms <= 0.0 || self.members <= FOUNDERS {
+    pub fn count_bytes(&mut self, tally: &Tally, leader: Option<IpAddr>, fleet: &Fleet) {
+        if tally.looks < 2 || tally.span_ms <= 0.0 || self.members <= FOUNDERS {
             return;
         }
-        let seconds = span_ms / 1000.0;
+        let seconds = tally.span_ms / 1000.0;
         let of = |address: IpAddr| tally.of(address).map(|bytes| bytes / seconds);
         let all = 2.0 * tally.all.both() / seconds;
         let founders: Option<Vec<f64>> = fleet.founders().map(|founder| of(founder.address.ip())).collect();
