--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -178,6 +178,19 @@
             let measured = value.map_or("no data".into(), |value| shown(value).to_string());
             table.add_row([key, measured, aim.text(), verdict.into()]);
         }
+        let phases = self.phases.iter().flat_map(|(name, figures)| {
+            figures.notes.iter().map(move |(key, value)| (format!("{name}: {key}"), value))
+        });
+        let own = self.notes.iter().map(|(key, value)| (key.to_string(), value));
+        for (key, value) in own.chain(phases) {
+            match value {
+                Value::Object(rows) => rows.iter().for_each(|(row, told)| {
+                    table.add_row([format!("{key}: {row}"), told.to_string(), String::new(), String::new()]);
+                }),
+                Value::String(word) => drop(table.add_row([&*key, word, "", ""])),
+                other => drop(table.add_row([key, other.to_string(), String::new(), String::new()])),
+            }
+        }
         table
     }
 }
--- a/crates/plovershelf-cli/src/trial/scale/judging.rs
+++ b/crates/plovershelf-cli/src/trial/scale/judging.rs
@@ -63,13 +63,14 @@
 const PUT_OUT_MS: f64 = 4000.0;
 
 /// Whether a member is where it belongs: it knows of all that there are, has them in its view and may act; or it hears of
-/// changes.
+/// changes; of a source, its council can agree.
 pub fn whole(look: &Look, all: usize) -> bool {
     match look {
         Look::Group(brief) => brief.in_view as usize == all && brief.alive as usize == all && brief.may_act,
-        Look::Changes(report) => {
-            report.source || (report.node.parent.is_some() && report.node.age_ms.is_some())
-        }
+        Look::Changes(report) => match &report.council {
+            Some(council) => council.agrees && council.leader.is_some(),
+            None => report.node.parent.is_some() && report.node.age_ms.is_some(),
+        },
     }
 }
 
@@ -101,11 +102,11 @@
 impl Came {
     /// Takes what links carried over a span. Each byte is one member's sent and another's received. Sources of changes are
     /// no backends, so their part is left out of the mean.
-    pub fn count_bytes(&mut self, tally: &Tally, span_ms: f64, leader: Option<IpAddr>, fleet: &Fleet) {
-        if tally.looks < 2 || span_ms <= 0.0 || self.members <= FOUNDERS {
+    pub fn count_bytes(&mut self, tally: &Tally, leader: Option<IpAddr>, fleet: &Fleet) {
+        if tally.looks < 2 || tally.span_ms <= 0.0 || self.members <= FOUNDERS {
             return;
         }
-        let seconds = span_ms / 1000.0;
+        let seconds = tally.span_ms / 1000.0;
         let of = |address: IpAddr| tally.of(address).map(|bytes| bytes / seconds);
         let all = 2.0 * tally.all.both() / seconds;
         let founders: Option<Vec<f64>> = fleet.founders().map(|founder| of(founder.address.ip())).collect();
@@ -137,6 +138,38 @@
                 _ => self.changes_missed += 1,
             }
         }
+        for word in &seen.words {
+            let slow = |(place, at): &(usize, f64)| {
+                word.agreed.is_some_and(|agreed| at - agreed > PUT_OUT_MS) && !fleet.members[*place].touched
+            };
+            let slow: Vec<&str> = word
+                .in_force
+                .iter()
+                .map(|(place, at)| (*place, *at))
+                .filter(slow)
+                .map(|(place, _)| &*fleet.members[place].name)
+                .collect();
+            if !slow.is_empty() {
+                let last = latest(&word.in_force, untouched(fleet));
+                tracing::warn!(
+                    event = "late",
+                    number = word.number,
+                    agreed = word.agreed,
+                    last,
+                    count = slow.len(),
+                    "{:?}",
+                    &slow[..slow.len().min(8)]
+                );
+            }
+        }
+        for (place, oldest) in seen
+            .oldest
+            .iter()
+            .filter(|(place, oldest)| **oldest > PUT_OUT_MS && !fleet.members[**place].touched)
+        {
+            let (member, at) = (&fleet.members[*place], seen.oldest_at.get(place));
+            tracing::warn!(event = "cut_off", name = %member.name, zone = member.zone, process = member.process, oldest, at);
+        }
         self.two_at_one_number = seen.two_at_one_number();
         self.healthy_put_out = match fleet.mode {
             Mode::Group => seen.healthy_put_out(|place| fleet.members[place].touched),
--- a/crates/plovershelf-cli/src/trial/scale/watch.rs
+++ b/crates/plovershelf-cli/src/trial/scale/watch.rs
@@ -136,6 +136,7 @@
     pub refused: usize,
     /// How old a source's word got at the most on each listener, in milliseconds.
     pub oldest: BTreeMap<usize, f64>,
+    pub oldest_at: BTreeMap<usize, f64>,
 }
 
 impl Seen {
@@ -155,7 +156,11 @@
                 let alive_of = relied.map(|death| death.name.clone()).collect();
                 if !report.source {
                     let oldest = self.oldest.entry(member).or_default();
-                    *oldest = oldest.max(report.node.age_ms.unwrap_or(f64::INFINITY));
+                    let age = report.node.age_ms.unwrap_or(f64::INFINITY);
+                    if age > *oldest {
+                        *oldest = age;
+                        self.oldest_at.insert(member, answered);
+                    }
                 }
                 let version = report.node.version;
                 (alive_of, version.era, vec![(KEY.to_string(), version.number, report.node.digest)])
@@ -344,7 +349,6 @@
                     Ok(Answer::Part(bytes)) => decode::<Told>(&bytes).ok(),
                     _ => None,
                 };
-                let mut seen = watch.seen.borrow_mut();
                 let number = match &told {
                     Some(Told::Done(text)) => {
                         text.strip_prefix(AGREED).and_then(|number| number.parse().ok())
@@ -352,21 +356,14 @@
                     _ => None,
                 };
                 if let Some(number) = number {
-                    let agreed = Some(watch.clock.now());
-                    seen.words.push(Word { number, agreed, in_force: BTreeMap::new() });
-                    seen.pending -= 1;
-                    return;
-                }
-                seen.refused += 1;
-                let pause = 15 + seen.refused as u64 % 11 * 8;
-                drop(seen);
-                if told.is_none() {
-                    link = None;
+                    return watch.agreed(number);
                 }
-                if let Some(Told::Refused(why)) = &told {
-                    tracing::debug!(event = "refused", "{why}");
+                let refused = watch.refused();
+                match told {
+                    Some(told) => tracing::debug!(event = "refused", "{told:?}"),
+                    None => link = None,
                 }
-                Timer::after(Duration::from_millis(pause)).await;
+                Timer::after(Duration::from_millis(15 + refused % 11 * 8)).await;
             }
             tracing::warn!(event = "not_agreed", source = %at, "a change was not agreed on in {PROPOSE_MS} ms");
             watch.seen.borrow_mut().pending -= 1;
@@ -377,6 +374,20 @@
         self.executor.spawn(propose).detach();
     }
 
+    fn agreed(&self, number: u64) {
+        let mut seen = self.seen.borrow_mut();
+        let agreed = Some(self.clock.now());
+        seen.words.push(Word { number, agreed, in_force: BTreeMap::new() });
+        seen.pending -= 1;
+    }
+
+    /// How often one was refused so far, which spreads those that propose again.
+    fn refused(&self) -> u64 {
+        let mut seen = self.seen.borrow_mut();
+        seen.refused += 1;
+        seen.refused as u64
+    }
+
     /// Waits until this is so, or the span is over; tells whether it is, and when it began to wait.
     pub async fn until(&self, within_ms: f64, so: impl Fn(&Seen) -> bool) -> Option<f64> {
         let began = self.clock.now();
