--- a/crates/plovershelf-cli/src/trial/scale/judging.rs
+++ b/crates/plovershelf-cli/src/trial/scale/judging.rs
@@ -167,8 +167,15 @@
             .iter()
             .filter(|(place, oldest)| **oldest > PUT_OUT_MS && !fleet.members[**place].touched)
         {
-            let (member, at) = (&fleet.members[*place], seen.oldest_at.get(place));
-            tracing::warn!(event = "cut_off", name = %member.name, zone = member.zone, process = member.process, oldest, at);
+            let member = &fleet.members[*place];
+            let relied = seen.oldest_at.get(place).map(|(at, relied)| {
+                let name = |at: &Option<std::net::SocketAddr>| {
+                    fleet.members.iter().find(|m| Some(m.address) == *at).map_or("nobody", |m| &*m.name)
+                };
+                format!("at {at:.0} heard from {}, with {} as its spare", name(&relied[0]), name(&relied[1]))
+            });
+            let (zone, relied) = (member.zone + 1, relied.unwrap_or_default());
+            tracing::warn!(event = "cut_off", name = %member.name, zone, process = member.process, oldest, "{relied}");
         }
         self.two_at_one_number = seen.two_at_one_number();
         self.healthy_put_out = match fleet.mode {
--- a/crates/plovershelf-cli/src/trial/scale/watch.rs
+++ b/crates/plovershelf-cli/src/trial/scale/watch.rs
@@ -136,7 +136,8 @@
     pub refused: usize,
     /// How old a source's word got at the most on each listener, in milliseconds.
     pub oldest: BTreeMap<usize, f64>,
-    pub oldest_at: BTreeMap<usize, f64>,
+    /// When that was, and from whom it heard, or would have next.
+    pub oldest_at: BTreeMap<usize, (f64, [Option<SocketAddr>; 2])>,
 }
 
 impl Seen {
@@ -152,14 +153,14 @@
             // Who hears from a dead one, or would go to it next, has not found out.
             Look::Changes(report) => {
                 let relied = [report.node.parent, report.node.spare];
-                let relied = self.deaths.iter().filter(|death| relied.contains(&Some(death.address)));
-                let alive_of = relied.map(|death| death.name.clone()).collect();
+                let dead = self.deaths.iter().filter(|death| relied.contains(&Some(death.address)));
+                let alive_of = dead.map(|death| death.name.clone()).collect();
                 if !report.source {
                     let oldest = self.oldest.entry(member).or_default();
                     let age = report.node.age_ms.unwrap_or(f64::INFINITY);
                     if age > *oldest {
                         *oldest = age;
-                        self.oldest_at.insert(member, answered);
+                        self.oldest_at.insert(member, (answered, relied));
                     }
                 }
                 let version = report.node.version;
