A listener is not sent round among relays and sources that stand still

Cause: in the scale trial a few listeners had changes up to 8 s late while most of a zone stood still for 4 s with its source.

--- a/crates/plovershelf-changes/src/attach.rs
+++ b/crates/plovershelf-changes/src/attach.rs
@@ -80,12 +80,19 @@
     pub avoid: Vec<SocketAddr>,
     tries: u32,
     refused: u32,
+    /// In a row, of those it would attach to.
+    unanswered: u32,
     answer_ms: f64,
     pause_most_ms: f64,
 }
 
 const PAUSE_MS: f64 = 100.0;
-const AVOID_MOST: usize = 4;
+/// Remembered while it seeks, and from then on.
+const AVOID_MOST: usize = LIST_MOST;
+const AVOID_KEPT: usize = 4;
+/// So many that do not answer, one after the other, and a source is asked anew. Guards against a list of relays that all
+/// stand still with their zone, at a wait each.
+const UNANSWERED_MOST: u32 = 2;
 
 impl Up {
     pub fn new(mut sources: Vec<SocketAddr>, now: f64, terms: &crate::node::Terms, rng: &mut Pcg32) -> Self {
@@ -100,6 +107,7 @@
             avoid: Vec::new(),
             tries: 0,
             refused: 0,
+            unanswered: 0,
             answer_ms: terms.answer_ms,
             pause_most_ms: terms.pause_most_ms,
         }
@@ -184,7 +192,9 @@
         self.state = State::Attached { parent, heard_at: now, waited: false };
         self.tries = 0;
         self.refused = 0;
+        self.unanswered = 0;
         self.avoid.retain(|at| *at != parent);
+        self.avoid.drain(..self.avoid.len().saturating_sub(AVOID_KEPT));
     }
     /// Asks a source, this one or the next in turn.
     pub fn seek(&mut self, now: f64, source: Option<SocketAddr>) -> Option<Step> {
@@ -249,9 +259,14 @@
                     }
                 }
             }
-            State::Attaching { to, next, over, .. } if to == at => {
+            State::Attaching { to, mut next, over, .. } if to == at => {
                 self.avoid(at);
                 self.refused += u32::from(refused);
+                self.unanswered = if refused { 0 } else { self.unanswered + 1 };
+                if !self.relay && self.unanswered >= UNANSWERED_MOST {
+                    self.unanswered = 0;
+                    next.clear();
+                }
                 if self.relay && self.refused as usize >= 2 * self.sources.len() {
                     self.refused = 0;
                     self.wait(now, rng);
@@ -264,6 +279,8 @@
                 self.attach(now, next, over, rng)
             }
             State::Seeking { source, .. } if source == at => {
+                // So that no other source sends it there again.
+                self.avoid(at);
                 self.wait(now, rng);
                 None
             }
--- a/crates/plovershelf-changes/src/spread.rs
+++ b/crates/plovershelf-changes/src/spread.rs
@@ -149,9 +149,10 @@
     }
     /// Every relay known here, with how many it feeds or will: its own, those promised, those of other sources.
     fn relays(&self, now: f64, terms: &Terms) -> Vec<Place> {
-        let own = self.children.iter().filter(|child| child.summed).map(place);
+        let speaks = |heard_at: f64| speaks(heard_at, now, terms);
+        let own = self.children.iter().filter(|child| child.summed && speaks(child.heard_at)).map(place);
         let promised = self.promised.iter().map(|promised| promised.place.clone());
-        let live = self.peers.iter().filter(|peer| peer.heard_at + 3.0 * terms.near_ms > now);
+        let live = self.peers.iter().filter(|peer| speaks(peer.heard_at));
         own.chain(promised).chain(live.flat_map(|peer| peer.relays.iter().cloned())).collect()
     }
     /// Of a source: where one that seeks may go. A relay of its zone that has room, the one with the most of it first; else it
@@ -185,7 +186,7 @@
             let full = self.children.len() + self.promised_only() >= terms.source_fan_out;
             let nearer = self.peers.iter().find(|peer| {
                 let there = peer.about.as_ref().is_some_and(|there| there.region == about.region);
-                there && peer.heard_at + 3.0 * terms.near_ms > now
+                there && speaks(peer.heard_at, now, terms) && !avoid.contains(&peer.address)
             });
             if let Some(peer) = nearer.filter(|_| !sent_on && own.region != about.region) {
                 return Message::Ways {
@@ -251,7 +252,7 @@
     }
     /// Of a source: a relay that is nearer to another source, or one of many where another feeds far fewer; and that other.
     pub fn better(&self, now: f64, own: &About, terms: &Terms) -> Option<(SocketAddr, SocketAddr)> {
-        let live = self.peers.iter().filter(|peer| peer.heard_at + 3.0 * terms.near_ms > now);
+        let live = self.peers.iter().filter(|peer| speaks(peer.heard_at, now, terms));
         let room = live.filter(|peer| peer.relays.len() < terms.source_fan_out && peer.about.is_some());
         let of = |peer: &&Peer, region: &str| peer.about.as_ref().is_some_and(|about| about.region == region);
         let peers: Vec<&Peer> = room.collect();
@@ -278,6 +279,11 @@
     }
 }
 
+/// Each says something once a second, a source twice: who is silent may stand still, and what it told of with it.
+fn speaks(heard_at: f64, now: f64, terms: &Terms) -> bool {
+    heard_at + terms.silent_ms.1 > now
+}
+
 /// Of a relay: what a child is told, each with another spare first, by its address, so that it stays as others come and go.
 pub fn rotated(near: &[SocketAddr], child: SocketAddr) -> Vec<SocketAddr> {
     let mut near: Vec<SocketAddr> = near.iter().copied().filter(|address| *address != child).collect();
--- a/crates/plovershelf-cli/src/trial/changes_model.rs
+++ b/crates/plovershelf-cli/src/trial/changes_model.rs
@@ -42,6 +42,7 @@
     "release",
     "rack",
     "zone",
+    "zone-stopped",
     "relays",
     "relays-gone",
     "relay-gone",
--- a/crates/plovershelf-model/src/changes/shapes.rs
+++ b/crates/plovershelf-model/src/changes/shapes.rs
@@ -83,13 +83,14 @@
     pub mangled: f64,
 }
 
-pub const SHAPES: [&str; 19] = [
+pub const SHAPES: [&str; 20] = [
     "calm",
     "day",
     "burst",
     "release",
     "rack",
     "zone",
+    "zone-stopped",
     "relays",
     "relays-gone",
     "relay-gone",
@@ -250,6 +251,19 @@
             let of_zone = zone(chance.random_range(0..ZONES));
             vec![step(5000.0, 20_000.0, Who::Places(of_zone), Trouble::Gone)]
         }
+        // Each zone in turn stands still, the source in it too; one in eight of it goes on, half of these start anew meanwhile.
+        "zone-stopped" => (0..ZONES)
+            .flat_map(|n| {
+                let at = 3000.0 + n as f64 * 10_000.0;
+                let goes_on = |place: &usize| *place >= SOURCES && place / ZONES % 8 == 0;
+                let (on, still): (Vec<usize>, Vec<usize>) = zone(n).into_iter().partition(goes_on);
+                let anew = on.into_iter().step_by(2).collect();
+                [
+                    step(at, 4000.0, Who::Places(still), Trouble::Stopped),
+                    step(at + 300.0, 300.0, Who::Places(anew), Trouble::Killed),
+                ]
+            })
+            .collect(),
         "relays" => vec![
             step(5000.0, 6000.0, Who::Relays(0.2), Trouble::Killed),
             step(22_000.0, 6000.0, Who::Relays(0.2), Trouble::Killed),
--- a/crates/plovershelf-model/tests/changes.rs
+++ b/crates/plovershelf-model/tests/changes.rs
@@ -66,6 +66,18 @@
     }
 }
 
+/// Seen on real processes as most of a zone stood still with its source: whoever started there meanwhile was sent to one that
+/// stood still over and over, by the sources that went on, and had changes up to 8 s late.
+#[test]
+fn one_that_starts_in_a_zone_that_stands_still_is_not_sent_round_in_it() {
+    for seed in [1, 2] {
+        let came = run::<Tree>(&Shape::of("zone-stopped", 300, seed), None);
+        let worst = came.in_force_worst().expect("changes in force somewhere");
+        assert!(worst < 3500.0, "{seed}: {worst} {:?}", came.seen);
+        assert!(came.missed == 0 && came.broken_count.is_empty(), "{seed}: {:?}", came.broken);
+    }
+}
+
 #[test]
 fn other_ways_bring_all_there_too_and_the_leader_pays_for_it() {
     let shape = Shape::of("release", 40, 1);
