--- a/crates/plovershelf-model/src/changes/shapes.rs
+++ b/crates/plovershelf-model/src/changes/shapes.rs
@@ -255,7 +255,7 @@
         "zone-stopped" => (0..ZONES)
             .flat_map(|n| {
                 let at = 3000.0 + n as f64 * 10_000.0;
-                let goes_on = |place: &usize| *place >= SOURCES && place / ZONES % 8 == 0;
+                let goes_on = |place: &usize| *place >= SOURCES && (place / ZONES).is_multiple_of(8);
                 let (on, still): (Vec<usize>, Vec<usize>) = zone(n).into_iter().partition(goes_on);
                 let anew = on.into_iter().step_by(2).collect();
                 [
