--- a/crates/plovershelf-changes/src/attach.rs
+++ b/crates/plovershelf-changes/src/attach.rs
@@ -201,7 +201,13 @@
         let sent_on = source.is_some();
         let source = match source {
             Some(source) => source,
-            None => *self.sources.get(self.turn % self.sources.len().max(1))?,
+            // The next in turn that did not fail to answer of late, where there is one.
+            None => {
+                let count = self.sources.len().max(1);
+                let mut order = self.sources.iter().cycle().skip(self.turn % count).take(count);
+                let first = *self.sources.get(self.turn % count)?;
+                order.find(|source| !self.avoid.contains(source)).copied().unwrap_or(first)
+            }
         };
         self.state = State::Seeking { source, until: now + self.answer_ms, sent_on };
         Some(Step::Seek { source, sent_on })
@@ -296,6 +302,8 @@
                 let from = self.turn % self.sources.len().max(1);
                 let mut to = self.sources.clone();
                 to.rotate_left(from);
+                // Who did not answer of late is asked last.
+                to.sort_by_key(|source| self.avoid.contains(source));
                 self.attach(now, to, true, rng)
             }
             State::Waiting { .. } => {
--- a/crates/plovershelf-changes/src/node.rs
+++ b/crates/plovershelf-changes/src/node.rs
@@ -703,6 +703,7 @@
         };
         // Sources feed relays and relays feed leaves; anything else could come to a circle.
         let fits = self.feeds() && source == relay && self.up.parent() != Some(from);
+        let most = if self.spread.is_promised(from) { self.terms.source_failover_fan_out } else { most };
         let room = known || self.spread.children.len() < most;
         if !fits || !room || !about.is_bounded() {
             self.send(from, Message::Refused);
--- a/crates/plovershelf-changes/src/spread.rs
+++ b/crates/plovershelf-changes/src/spread.rs
@@ -217,6 +217,10 @@
             |promised: &&Promised| self.children.iter().any(|child| child.address == promised.place.address);
         self.promised.iter().filter(|promised| !here(promised)).count()
     }
+    /// Told to be a relay here, so that there is room for it though others came meanwhile.
+    pub fn is_promised(&self, from: SocketAddr) -> bool {
+        self.promised.iter().any(|promised| promised.place.address == from)
+    }
     fn promise(&mut self, now: f64, from: SocketAddr, about: &About) {
         self.promised.retain(|promised| promised.place.address != from);
         let (zone, region) = (about.zone.clone(), about.region.clone());
