Replication: a repair's confirmation of a reservation no longer stands for an outcome

Callers saw: two attempts of one key could be answered with its result and as in doubt, with N - 1 machines lost. Cause: Repaired names a key only; the primary took the word for a repair without an outcome as the word of all replicas that they have the outcome that came meanwhile. Change: a repair says what is to be confirmed. Where a Repair of the key had no outcome under this view, the outcome is asked for with RecordOutcome, whose answer names it; replicas take that from a primary too. No message changes its bytes. The table in message.rs says what each confirmation is word of.

--- a/crates/plovershelf-replication/src/message.rs
+++ b/crates/plovershelf-replication/src/message.rs
@@ -6,7 +6,7 @@
 //! | primary | `Replicate` | replicas | `Reserved` to the executor |
 //! | replica | `Reserved` | executor | |
 //! | primary | `HeldByAnother`, then `Released` or again `HeldByAnother` | executor that waits | |
-//! | executor | `RecordOutcome` | replicas | `OutcomeRecorded` |
+//! | executor, or primary that repairs | `RecordOutcome` | replicas | `OutcomeRecorded` |
 //! | executor | `OutcomeReplicated` | primary | |
 //! | executor | `Release` | replicas | |
 //! | replica | `ProbeReservation` | executor | `Release`, if it no longer has the request |
@@ -14,6 +14,17 @@
 //! | primary | `Repair` | replicas | `Repaired` |
 //! | leaving member | `RequestLeave` | all others | `PermitLeave` |
 //!
+//! What a confirmation is word of, each under its own view only:
+//!
+//! | message | stored at the sender | of which attempt | not |
+//! | --- | --- | --- | --- |
+//! | `Reserved` | the reservation, in this round and with this replica set | `reservation` | an outcome |
+//! | `OutcomeRecorded` | this outcome | `reservation`; to an executor, in doubt where another attempt's record is stored | |
+//! | `OutcomeReplicated` | nothing: all replicas have confirmed the sender's outcome | `reservation` | that all of a later view have it |
+//! | `Repaired` | a record at least as new as one that a `Repair` of this view brought | not named | an outcome, where one of those had none |
+//! | `ReportAcknowledged` | nothing: all that was reported has come | | that any of it is stored elsewhere |
+//! | `PermitLeave` | nothing: the sender's own keys have all their replicas | | other primaries' keys |
+//!
 //! postcard writes the positions of variants and fields, not their names: neither may be reordered.
 
 use plovershelf_cluster::NodeId;
@@ -78,7 +89,7 @@
         /// The free key.
         key: IdempotencyKey,
     },
-    /// Executor to all replicas: this is the outcome.
+    /// Executor to all replicas, or primary to those that it repairs: this is the outcome.
     RecordOutcome {
         /// The sender's view.
         view: ViewNumber,
@@ -91,7 +102,7 @@
         /// How long to keep the outcome, in milliseconds.
         retention_ms: u64,
     },
-    /// Replica to executor: this outcome is stored here, which may be another than the one sent.
+    /// Replica to the sender of an outcome: this outcome is stored here, which may be another than the one sent.
     OutcomeRecorded {
         /// The sender's view.
         view: ViewNumber,
@@ -143,7 +154,7 @@
         /// What to store.
         records: Vec<(IdempotencyKey, Record)>,
     },
-    /// Replica to primary: these are stored.
+    /// Replica to primary: records of these keys are stored, with an outcome or without.
     Repaired {
         /// The sender's view.
         view: ViewNumber,
--- a/crates/plovershelf-replication/src/primary.rs
+++ b/crates/plovershelf-replication/src/primary.rs
@@ -11,8 +11,7 @@
 //! | replicated | `Reserve` of another attempt | `HeldByAnother` with the outcome |
 //!
 //! An outcome is told to others only when all replicas have it. Before that the loss of machines could still take it along,
-//! and a later reconciliation settle on another. One case breaks this rule as yet: a `Repaired` that answers for a record without an
-//! outcome is counted for the outcome that came meanwhile (test `repair_confirmation`, listed in KNOWN-RED.txt).
+//! and a later reconciliation settle on another. What exactly each confirmation is word of stands in [`message`](crate::message).
 
 use std::collections::BTreeMap;
 
@@ -21,7 +20,7 @@
 use crate::message::Message;
 use crate::placement::IdempotencyKey;
 use crate::record::{OutcomeVersion, Record, Reservation, ReservationOrder, Round};
-use crate::repair::Repair;
+use crate::repair::{Repair, RepairContent};
 use crate::replica::{Replica, Stored};
 
 /// Attempts that wait for one key; further ones ask again by themselves.
@@ -146,8 +145,12 @@
             }
         }
         // Against an outcome that stays unknown because the executor's message that all have it was lost, or the executor is.
-        if stored.is_some() && outcome.is_none() && !repair.is_under_way(key) {
-            repair.start(key, ctx.remote(ctx.suspected.replica_set(&ctx.membership, key)));
+        if stored.is_some() && outcome.is_none() && !repair.is_repairing_outcome(key) {
+            repair.start(
+                key,
+                RepairContent::Outcome,
+                ctx.remote(ctx.suspected.replica_set(&ctx.membership, key)),
+            );
             repair.schedule(ctx.now_ms + ctx.config.retransmit_interval_ms, key);
         }
         let message = Message::HeldByAnother { view: ctx.view(), key, reservation, outcome };
--- a/crates/plovershelf-replication/src/primary/tests.rs
+++ b/crates/plovershelf-replication/src/primary/tests.rs
@@ -25,7 +25,7 @@
     assert_eq!(replica.store(&ctx, KEY, completed), Stored::Yes);
     let answer = messages(primary.handle_reserve(&ctx, request(3), &mut replica, &mut repair));
     assert!(matches!(answer.as_slice(), [(NodeId(3), Message::HeldByAnother { outcome: None, .. })]));
-    assert!(repair.is_under_way(KEY));
+    assert!(repair.is_repairing_outcome(KEY));
     let told = messages(primary.handle_outcome_replicated(&ctx, KEY, &replica));
     let outcome = Some(Outcome::Failed);
     let (view, reservation) = (ctx.view(), reservation(3));
--- a/crates/plovershelf-replication/src/replica.rs
+++ b/crates/plovershelf-replication/src/replica.rs
@@ -169,7 +169,8 @@
         }
     }
 
-    /// The executor's outcome. What is stored here is confirmed, whatever was sent; of another reservation nothing is.
+    /// The outcome, from its executor or, after a change of view, from the primary. What is stored here is confirmed, whatever was
+    /// sent. Of another reservation nothing is: its executor learns that it is in doubt, a primary learns nothing.
     pub(crate) fn handle_record_outcome(
         &mut self,
         ctx: &Context,
@@ -181,7 +182,8 @@
         let stored = self.records.get_mut(&key);
         let is_replica = ctx.membership.replica_set(key).contains(&local)
             || stored.as_ref().is_some_and(|stored| stored.replica_set.contains(&local));
-        if reservation.executor != from || !is_replica {
+        let from_executor = reservation.executor == from;
+        if !is_replica || !from_executor && ctx.membership.primary(key) != Some(from) {
             return Effects::default();
         }
         let Some(stored) = stored else {
@@ -191,6 +193,9 @@
             return Effects::default();
         };
         let same = stored.reservation == reservation;
+        if !same && !from_executor {
+            return Effects::default();
+        }
         if stored.outcome.is_none() && same {
             self.outcome_bytes -= counted_bytes(&stored.outcome);
             stored.outcome = Some(outcome);
--- a/crates/plovershelf-replication/src/replicator.rs
+++ b/crates/plovershelf-replication/src/replicator.rs
@@ -28,7 +28,7 @@
 use crate::primary::{Primary, ReserveRequest};
 use crate::reconciliation::{resolve, Collected, Evidence, Reconciliation, ReportStatus, Resolution};
 use crate::record::{Outcome, Record, RequestId, Reservation, ViewNumber};
-use crate::repair::{Progress, Repair};
+use crate::repair::{Progress, Repair, RepairContent};
 use crate::replica::{Expiry, OutcomeReport, Replica, Stored};
 use crate::skipping::{SuspectedMembers, Update};
 
@@ -280,7 +280,7 @@
                 replica.handle_record_outcome(ctx, from, report)
             }
             Message::OutcomeRecorded { key, reservation, outcome, .. } => {
-                executor.handle_outcome_recorded(ctx, from, (key, reservation), outcome)
+                self.handle_outcome_recorded(from, key, reservation, outcome)
             }
             Message::OutcomeReplicated { key, reservation, .. } => {
                 self.handle_outcome_replicated(from, key, reservation)
@@ -355,16 +355,43 @@
         effects
     }
 
+    /// A replica stores an outcome: the local executor may have asked for it, or the repair of a key.
+    fn handle_outcome_recorded(
+        &mut self,
+        from: NodeId,
+        key: IdempotencyKey,
+        reservation: Reservation,
+        outcome: Outcome,
+    ) -> Effects {
+        let is_stored_here = self.replica.get(key).is_some_and(|stored| {
+            stored.reservation == reservation && stored.outcome.as_ref() == Some(&outcome)
+        });
+        let mut effects = self.executor.handle_outcome_recorded(&self.ctx, from, (key, reservation), outcome);
+        if is_stored_here {
+            let progress = self.repair.handle_outcome_recorded(from, key);
+            effects.append(self.after_repair(key, progress));
+        }
+        effects
+    }
+
     fn handle_repaired(&mut self, from: NodeId, keys: Vec<IdempotencyKey>) -> Effects {
         let mut effects = Effects::default();
         for key in keys {
-            if self.repair.handle_repaired(from, key) == Progress::Complete {
-                effects.append(self.primary.handle_outcome_replicated(&self.ctx, key, &self.replica));
-            }
+            let progress = self.repair.handle_repaired(from, key);
+            effects.append(self.after_repair(key, progress));
         }
         effects
     }
 
+    /// Only the confirmation of an outcome lets others be answered with it.
+    fn after_repair(&mut self, key: IdempotencyKey, progress: Progress) -> Effects {
+        if progress == Progress::Complete(RepairContent::Outcome) {
+            self.primary.handle_outcome_replicated(&self.ctx, key, &self.replica)
+        } else {
+            Effects::default()
+        }
+    }
+
     /// Another member leaves: it may go once all keys whose primary the local member is have their replicas without it.
     fn handle_request_leave(&mut self, from: NodeId) -> Effects {
         let may_hold_records = self.ctx.membership.accepts_records(from);
@@ -415,12 +442,13 @@
 
     /// Stores what a key was resolved to, and has its other replicas store it from `at_ms` on.
     fn start_repair(&mut self, key: IdempotencyKey, record: Record, at_ms: f64) {
+        let content = RepairContent::of(&record);
         if self.replica.store(&self.ctx, key, record) == Stored::Full {
             return;
         }
         let lacking = self.ctx.remote(self.ctx.membership.replica_set(key));
         let is_only_replica = lacking.is_empty();
-        self.repair.start(key, lacking);
+        self.repair.start(key, content, lacking);
         self.repair.schedule(at_ms, key);
         if is_only_replica {
             let effects = self.primary.handle_outcome_replicated(&self.ctx, key, &self.replica);
