Bulkheads: a reservation above its own maximum is an error, not a panic

Operators saw: a pools.ini with its least above its most ended the backend at the start, and at SIGHUP in the middle of service. Cause: the adaptive limits, whose bounds must be in order, were built before the capacities were checked. Change: capacities first. The other clamps of the product were read: none takes bounds from a file unchecked.

--- a/crates/plovershelf-bulkhead/src/bulkheads.rs
+++ b/crates/plovershelf-bulkhead/src/bulkheads.rs
@@ -93,6 +93,9 @@
     fn new(plan: &BulkheadPlan, kind: WorkKind, total: usize) -> Result<Self, BulkheadError> {
         let configs: Vec<CapacityConfig> =
             plan.bulkheads.iter().map(|bulkhead| bulkhead.capacity(kind)).collect();
+        // First, as only a plan that it accepts has bounds for the limits.
+        let capacity = CapacityAllocator::new(configs.clone(), plan.reserve, total)
+            .map_err(|source| BulkheadError::Capacity { kind, source })?;
         let weights: f64 = configs.iter().map(|config| config.weight).sum();
         let limit = |config: &CapacityConfig| {
             let bounds = LimitBounds { min: config.reserved.max(1) as f64, max: config.max.max(1) as f64 };
@@ -100,8 +103,6 @@
             ConcurrencyLimit::new(LimitAlgorithm::Aimd, bounds, total as f64 * config.weight / weights)
         };
         let limits = configs.iter().map(limit).collect();
-        let capacity = CapacityAllocator::new(configs, plan.reserve, total)
-            .map_err(|source| BulkheadError::Capacity { kind, source })?;
         Ok(KindState { capacity, limits })
     }
 
