Replication: the mark that all replicas have an outcome goes with its record

Callers could see: a retry answered with an outcome that not all replicas had, after the key's primary had changed twice. Cause: the mark stood beside the key and stayed when the record was replaced by a later reservation's. Change: the mark is part of the stored record; the same outcome under a later version keeps it. The primary keeps only who waits. Found by reading, not seen in a run.

--- a/crates/plovershelf-replication/src/primary.rs
+++ b/crates/plovershelf-replication/src/primary.rs
@@ -35,17 +35,10 @@
     pub(crate) retention_ms: u64,
 }
 
-/// What the primary knows of a key beside its record.
-#[derive(Clone, Debug, Default)]
-struct KeyState {
-    waiters: Vec<Reservation>,
-    /// All replicas have the outcome.
-    outcome_replicated: bool,
-}
-
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Primary {
-    keys: BTreeMap<IdempotencyKey, KeyState>,
+    /// By key, the attempts that wait for another's.
+    waiters: BTreeMap<IdempotencyKey, Vec<Reservation>>,
     last_sequence: u64,
 }
 
@@ -71,15 +64,11 @@
         &mut self,
         ctx: &Context,
         key: IdempotencyKey,
-        replica: &Replica,
+        replica: &mut Replica,
     ) -> Effects {
         let mut effects = Effects::default();
-        let Some(outcome) = replica.get(key).and_then(|stored| stored.outcome.as_ref()) else {
-            return effects;
-        };
-        let state = self.keys.entry(key).or_default();
-        state.outcome_replicated = true;
-        for reservation in std::mem::take(&mut state.waiters) {
+        let Some(outcome) = replica.mark_outcome_replicated(key) else { return effects };
+        for reservation in self.forget(key) {
             let outcome = Some(outcome.clone());
             let message = Message::HeldByAnother { view: ctx.view(), key, reservation, outcome };
             effects.send(reservation.executor, message);
@@ -87,9 +76,9 @@
         effects
     }
 
-    /// A key's record is gone. Its waiters, in the order in which they came.
+    /// A key's record is gone, or its outcome is told. Its waiters, in the order in which they came.
     pub(crate) fn forget(&mut self, key: IdempotencyKey) -> Vec<Reservation> {
-        self.keys.remove(&key).map_or(Vec::new(), |state| state.waiters)
+        self.waiters.remove(&key).unwrap_or_default()
     }
 
     // ---- steps ---------------------------------------------------------------------------------------
@@ -135,17 +124,17 @@
         repair: &mut Repair,
     ) -> Effects {
         let ReserveRequest { key, reservation, .. } = request;
-        let stored = replica.get(key).and_then(|stored| stored.outcome.as_ref());
-        let replicated = self.keys.get(&key).is_some_and(|state| state.outcome_replicated);
-        let outcome = stored.filter(|_| replicated).cloned();
+        let stored = replica.get(key);
+        let is_completed = stored.is_some_and(|stored| stored.outcome.is_some());
+        let outcome = stored.and_then(|stored| stored.replicated_outcome()).cloned();
         if outcome.is_none() {
-            let waiters = &mut self.keys.entry(key).or_default().waiters;
+            let waiters = self.waiters.entry(key).or_default();
             if !waiters.contains(&reservation) && waiters.len() < MAX_WAITERS {
                 waiters.push(reservation);
             }
         }
         // Against an outcome that stays unknown because the executor's message that all have it was lost, or the executor is.
-        if stored.is_some() && outcome.is_none() && !repair.is_repairing_outcome(key) {
+        if is_completed && outcome.is_none() && !repair.is_repairing_outcome(key) {
             repair.start(
                 key,
                 RepairContent::Outcome,
--- a/crates/plovershelf-replication/src/replica.rs
+++ b/crates/plovershelf-replication/src/replica.rs
@@ -34,6 +34,8 @@
     pub(crate) round: Round,
     pub(crate) outcome: Option<Outcome>,
     outcome_version: OutcomeVersion,
+    /// All replicas have the outcome, as the primary learnt. It holds of this outcome only and goes with the record.
+    outcome_replicated: bool,
     expires_at_ms: f64,
 }
 
@@ -46,10 +48,23 @@
             round: record.round,
             outcome: record.outcome,
             outcome_version: record.outcome_version,
+            outcome_replicated: false,
             expires_at_ms,
         }
     }
 
+    /// A record of a higher version takes this one's place.
+    fn replace(&mut self, record: Record, expires_at_ms: f64) {
+        let same_outcome = record.reservation == self.reservation && record.outcome == self.outcome;
+        let outcome_replicated = self.outcome_replicated && same_outcome;
+        *self = StoredRecord { outcome_replicated, ..StoredRecord::new(record, expires_at_ms) };
+    }
+
+    /// The outcome, once all replicas have it.
+    pub(crate) fn replicated_outcome(&self) -> Option<&Outcome> {
+        self.outcome.as_ref().filter(|_| self.outcome_replicated)
+    }
+
     fn version(&self) -> RecordVersion {
         RecordVersion {
             order: self.order,
@@ -133,6 +148,13 @@
         self.records.get_mut(&key)
     }
 
+    /// All replicas have the outcome that is stored of a key; returns it.
+    pub(crate) fn mark_outcome_replicated(&mut self, key: IdempotencyKey) -> Option<&Outcome> {
+        let stored = self.records.get_mut(&key)?;
+        stored.outcome_replicated = stored.outcome.is_some();
+        stored.outcome.as_ref()
+    }
+
     /// As it is sent to others.
     pub(crate) fn record(&self, key: IdempotencyKey, now_ms: f64) -> Option<Record> {
         Some(self.records.get(&key)?.to_record(now_ms))
@@ -259,7 +281,7 @@
                 let expires_at_ms = stored.expires_at_ms.max(expires_at_ms);
                 if record.version() > stored.version() {
                     let before = counted_bytes(&stored.outcome);
-                    *stored = StoredRecord::new(record, expires_at_ms);
+                    stored.replace(record, expires_at_ms);
                     self.outcome_bytes = self.outcome_bytes + counted_bytes(&stored.outcome) - before;
                 } else {
                     stored.expires_at_ms = expires_at_ms;
--- a/crates/plovershelf-replication/src/replicator.rs
+++ b/crates/plovershelf-replication/src/replicator.rs
@@ -333,7 +333,7 @@
         if !stored || reservation.executor != from {
             return Effects::default();
         }
-        self.primary.handle_outcome_replicated(&self.ctx, key, &self.replica)
+        self.primary.handle_outcome_replicated(&self.ctx, key, &mut self.replica)
     }
 
     fn handle_release(&mut self, from: NodeId, key: IdempotencyKey, reservation: Reservation) -> Effects {
@@ -386,7 +386,7 @@
     /// Only the confirmation of an outcome lets others be answered with it.
     fn after_repair(&mut self, key: IdempotencyKey, progress: Progress) -> Effects {
         if progress == Progress::Complete(RepairContent::Outcome) {
-            self.primary.handle_outcome_replicated(&self.ctx, key, &self.replica)
+            self.primary.handle_outcome_replicated(&self.ctx, key, &mut self.replica)
         } else {
             Effects::default()
         }
@@ -451,7 +451,7 @@
         self.repair.start(key, content, lacking);
         self.repair.schedule(at_ms, key);
         if is_only_replica {
-            let effects = self.primary.handle_outcome_replicated(&self.ctx, key, &self.replica);
+            let effects = self.primary.handle_outcome_replicated(&self.ctx, key, &mut self.replica);
             self.apply(effects);
         }
     }
