Settings: a key that can't be used is an error with its path, not a missing one

Cause: each reader turned what it could not use into the default of a missing key, and an unknown word had the least strict meaning. Change: document.rs reads key by key with ranges and words and collects all that is wrong: one line, status 2; at SIGHUP the old configuration goes on. A key twice in an object is refused. A missing effect counts as once and is logged; a keyed class needs its window. pools.ini is checked against the backend before listening, by its name; group.ini refuses four more slips. The tests of settings and of start-up lines are replaced by ones as strict: they held that an unknown word counts as missing, and lines without what was found.

--- a/crates/plovershelf-config/src/config_distribution.rs
+++ b/crates/plovershelf-config/src/config_distribution.rs
@@ -141,7 +141,7 @@
 pub(crate) fn origin(reading: &mut Reading<'_>, told: &Properties) -> Origin {
     reading.check_keys(SECTION, told, &ORIGIN_KEYS);
     let (listen, origins) = addresses(reading, told);
-    let tenants = told.get("tenants").map(|path| PathBuf::from(path.trim()));
+    let tenants = reading.path(SECTION, told, "tenants");
     Origin { listen, origins, tenants, config: distribution_config(reading, told) }
 }
 
--- a/crates/plovershelf-config/src/group.rs
+++ b/crates/plovershelf-config/src/group.rs
@@ -123,7 +123,8 @@
             "ways" => {
                 for (from, to) in told.iter() {
                     match to.trim().parse() {
-                        Ok(to) => drop(group.ways.insert(from.trim().to_string(), to)),
+                        Ok(to) if group.ways.insert(from.trim().to_string(), to).is_none() => {}
+                        Ok(_) => reading.say(section, &format!("{from} stands there twice")),
                         Err(_) => reading.say(section, &format!("{from} = {to:?}: NAME = ADDRESS:PORT")),
                     }
                 }
@@ -135,7 +136,7 @@
             _ if section.starts_with("zone ") => {
                 reading.check_keys(section, told, &["region"]);
                 let name = section["zone ".len()..].trim().to_string();
-                let region = told.get("region").unwrap_or("region").trim().to_string();
+                let region = reading.word(section, told, "region", Some("region"));
                 zones.push(Zone { name, region });
             }
             _ if section.starts_with("way ") => {
@@ -272,6 +273,9 @@
             "council is missing: names of the first voters, of which the first founds the group",
         );
     }
+    for name in group.council.iter().filter(|name| name.contains(char::is_whitespace)) {
+        reading.say(section, &format!("council: {name:?}: one word a name, with commas between"));
+    }
     let mut names = group.council.clone();
     names.sort();
     names.dedup();
@@ -287,7 +291,7 @@
         reading.say(section, &format!("council names {}: {most} at most", group.council.len()));
     }
     group.config.voters = voters;
-    group.folder = told.get("folder").map(PathBuf::from);
+    group.folder = reading.path(section, told, "folder");
     let mut number =
         |key: &str, range: [f64; 2], otherwise: f64| reading.number(section, told, key, range, otherwise);
     let config = &mut group.config;
--- a/crates/plovershelf-config/src/lib.rs
+++ b/crates/plovershelf-config/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod pools;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use ini::{Ini, Properties};
 
@@ -65,6 +66,15 @@
         value.to_string()
     }
 
+    /// A file or folder, where one is told.
+    fn path(&mut self, section: &str, told: &Properties, key: &str) -> Option<PathBuf> {
+        let value = told.get(key)?.trim();
+        if value.is_empty() {
+            self.say(section, &format!("{key} = \"\": a path"));
+        }
+        Some(PathBuf::from(value))
+    }
+
     /// Where others reach this process.
     fn reached_at(&mut self, section: &str, told: &Properties, key: &str) -> SocketAddr {
         let value = told.get(key).unwrap_or("");
--- a/crates/plovershelf-server/src/driver.rs
+++ b/crates/plovershelf-server/src/driver.rs
@@ -46,6 +46,7 @@
 use crate::limits::Limits;
 use crate::log_limit::LogLimit;
 use agent::CommandLog;
+pub(crate) use bulkheads::check_bulkheads;
 use bulkheads::BulkheadState;
 use clients::ClientConnection;
 use open_request::OpenRequest;
--- a/crates/plovershelf-server/src/driver/bulkheads.rs
+++ b/crates/plovershelf-server/src/driver/bulkheads.rs
@@ -84,6 +84,14 @@
     since_ms: f64,
 }
 
+/// Whether a plan fits a backend, before anything is made of it.
+///
+/// # Errors
+/// What the plan has against the backend's configuration.
+pub(crate) fn check_bulkheads(plan: &BulkheadPlan, config: &BackendConfig) -> Result<(), BulkheadError> {
+    BulkheadState::new(plan.clone(), config).map(drop)
+}
+
 /// Bulkheads with what they have learnt.
 pub(super) struct BulkheadState {
     bulkheads: AdaptiveBulkheads,
--- a/crates/plovershelf-server/src/service.rs
+++ b/crates/plovershelf-server/src/service.rs
@@ -11,6 +11,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
+use plovershelf::api::BackendConfig;
 use thiserror::Error;
 
 use crate::agent_link::AgentLinks;
@@ -80,6 +81,7 @@
         agent_moved,
         events,
         classes: startup.classes.clone(),
+        config: BackendConfig { tenant_quotas_per_s: Vec::new(), ..startup.config.clone() },
         cluster: cluster.commands.clone(),
         distribution: distribution.clone(),
         give_notice,
@@ -87,6 +89,9 @@
     };
     executor.spawn(signal_handler.run(signals)).detach();
 
+    for warning in &startup.warnings {
+        tracing::warn!(event = "settings_incomplete", "{warning}");
+    }
     tracing::info!(event = "listening", "{name} listens on {listen}");
     let queues = DriverQueues { inbox, notice, calls };
     let driver = Driver::new(startup, stop_ms, limits, queues, draining, Some(listening))
@@ -252,6 +257,7 @@
     agent_moved: Sender<()>,
     events: Sender<Event>,
     classes: plovershelf_settings::Names,
+    config: BackendConfig,
     cluster: Option<Sender<cluster::Incoming>>,
     distribution: Option<Sender<config_distribution::Input>>,
     give_notice: Sender<f64>,
@@ -272,7 +278,7 @@
     async fn reload(&self) {
         self.peers.reload(&self.fixed);
         let _ = self.agent_moved.try_send(());
-        match startup::read_bulkheads(&self.classes) {
+        match startup::read_bulkheads(&self.classes, &self.config) {
             Ok(Some(plan)) => drop(self.events.send(Event::Bulkheads(plan)).await),
             Ok(None) => {}
             Err(error) => {
--- a/crates/plovershelf-server/src/startup.rs
+++ b/crates/plovershelf-server/src/startup.rs
@@ -8,11 +8,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use plovershelf::api::BackendConfig;
 use plovershelf_bulkhead::BulkheadPlan;
-use plovershelf_settings::Startup;
+use plovershelf_settings::document::{Entry, InvalidDocument, NumberRange, Problems, Section};
+use plovershelf_settings::ranges::{CORES, POSITIVE_DURATION_MS};
+use plovershelf_settings::{unique_keys, Startup};
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::driver::check_bulkheads;
 use crate::limits::Limits;
 
 const CONFIG_VARIABLE: &str = "RELAY_CONFIG";
@@ -20,28 +24,12 @@
 const CLUSTER_VARIABLE: &str = "PLOVERSHELF_GROUP";
 const CHANGES_VARIABLE: &str = "PLOVERSHELF_CHANGES";
 
-/// What is wrong with the document itself.
-#[derive(Debug, PartialEq, Eq, Error)]
-pub(crate) enum ConfigError {
-    /// A key is missing, or its value is no text.
-    #[error("{0:?} is missing or no text")]
-    NoText(&'static str),
-    /// A key is missing, or its value is no number above 0.
-    #[error("{0:?} is missing or not above 0")]
-    NotPositive(&'static str),
-    /// A value is no address.
-    #[error("{key:?}: {source}")]
-    BadAddress { key: &'static str, source: std::net::AddrParseError },
-    /// The name is empty or several words.
-    #[error("\"name\" is not one word")]
-    BadName,
-    /// The seed is not hexadecimal.
-    #[error("\"seed\": {0}")]
-    BadSeed(std::num::ParseIntError),
-    /// What the settings say is wrong.
-    #[error("{0}")]
-    Settings(String),
-}
+const ADDRESS: &str = "an ADDRESS:PORT";
+const NAME: &str = "one word";
+const SEED: &str = "a hexadecimal number of at most 64 bits";
+/// Memory of the program, in MiB; descriptors of a process are fewer than 2^20 unless its system is tuned for more.
+const PROGRAM_MEMORY_MB: NumberRange = NumberRange::above(0.0, (1u64 << 24) as f64);
+const SOCKETS: NumberRange = NumberRange::whole(1.0, (1u64 << 20) as f64);
 
 /// Why the program's configuration can't be used.
 #[derive(Debug, Error)]
@@ -57,7 +45,7 @@
     NoJson { path: String, source: serde_json::Error },
     /// The document says something that can't be.
     #[error("RELAY_CONFIG {path}: {source}")]
-    Config { path: String, source: ConfigError },
+    Config { path: String, source: InvalidDocument },
     /// An operator's file says something that can't be.
     #[error("{0}")]
     OperatorFile(String),
@@ -132,7 +120,7 @@
     let document = read_document()?;
     let in_file = |source| StartupError::Config { path: config_path(), source };
     let mut launch = read_launch(&document).map_err(in_file)?;
-    launch.bulkheads = read_bulkheads(&launch.startup.classes)?;
+    launch.bulkheads = read_bulkheads(&launch.startup.classes, &launch.startup.config)?;
     launch.group = read_operator_file(CLUSTER_VARIABLE, plovershelf_config::group::read)?;
     launch.changes = read_operator_file(CHANGES_VARIABLE, plovershelf_config::config_distribution::read)?;
     Ok(launch)
@@ -140,7 +128,7 @@
 
 fn read_document() -> Result<Value, StartupError> {
     let (path, text) = read_file(CONFIG_VARIABLE)?.ok_or(StartupError::NoConfig)?;
-    serde_json::from_str(&text).map_err(|source| StartupError::NoJson { path, source })
+    unique_keys::parse(&text).map_err(|source| StartupError::NoJson { path, source })
 }
 
 /// Path and text of the file that a variable names, where it names one.
@@ -162,33 +150,39 @@
     parse(&path, &text).map(Some).map_err(|error| StartupError::OperatorFile(error.to_string()))
 }
 
-/// The bulkheads of the operator's file, where there is one.
+/// The bulkheads of the operator's file, where there is one, checked against the backend that they are for.
 ///
 /// # Errors
 /// All that is wrong with the file.
-pub(crate) fn read_bulkheads(classes: &[String]) -> Result<Option<BulkheadPlan>, StartupError> {
-    read_operator_file(BULKHEADS_VARIABLE, |path, text| plovershelf_config::pools::read(path, text, classes))
-}
-
-fn text<'a>(document: &'a Value, key: &'static str) -> Result<&'a str, ConfigError> {
-    document[key].as_str().ok_or(ConfigError::NoText(key))
+pub(crate) fn read_bulkheads(
+    classes: &[String],
+    config: &BackendConfig,
+) -> Result<Option<BulkheadPlan>, StartupError> {
+    read_operator_file(BULKHEADS_VARIABLE, |path, text| {
+        let plan = plovershelf_config::pools::read(path, text, classes).map_err(|error| error.to_string())?;
+        match check_bulkheads(&plan, config) {
+            Ok(()) => Ok(plan),
+            Err(error) => Err(format!("{path}: {error}")),
+        }
+    })
 }
 
-fn positive(document: &Value, key: &'static str) -> Result<f64, ConfigError> {
-    document[key].as_f64().filter(|number| *number > 0.0).ok_or(ConfigError::NotPositive(key))
+fn address(entry: &Entry<'_>) -> Option<SocketAddr> {
+    if !entry.is_present() {
+        entry.reject(ADDRESS);
+    }
+    entry.convert(ADDRESS, |value| value.as_str()?.parse().ok())
 }
 
-fn address(document: &Value, key: &'static str) -> Result<SocketAddr, ConfigError> {
-    text(document, key)?.parse().map_err(|source| ConfigError::BadAddress { key, source })
+/// Stands for an address of a document that is refused.
+fn no_address() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
 }
 
 impl Peers {
     /// Reads the document again; where it can't be used, everything stays as it is.
     pub(crate) fn reload(&self, fixed: &FixedParts) {
-        let reloaded = read_document().map_err(|error| error.to_string());
-        let moved =
-            reloaded.and_then(|document| self.move_to(fixed, &document).map_err(|error| error.to_string()));
-        match moved {
+        match self.try_reload(fixed) {
             Ok(()) => {
                 tracing::info!(event = "configuration_reloaded", "the configuration was read again")
             }
@@ -198,19 +192,39 @@
         }
     }
 
-    fn read(document: &Value) -> Result<Self, ConfigError> {
-        let cell = |key| Ok(Rc::new(Cell::new(address(document, key)?)));
+    fn read(document: &Value) -> Result<Self, InvalidDocument> {
+        let problems = Problems::default();
+        let peers = Peers::read_section(document, &Section::document(document, &problems));
+        problems.finish(peers)
+    }
+
+    fn read_section(document: &Value, section: &Section<'_>) -> Self {
+        let cell = |key| Rc::new(Cell::new(address(&section.get(key)).unwrap_or_else(no_address)));
         let is_shared = plovershelf_settings::shares_a_dependency(&document["settings"]);
         let dependency = match document["records"] {
             Value::Null if !is_shared => None,
-            _ => Some(address(document, "records")?),
+            _ => address(&section.get("records")),
         };
-        let (agent, registry) = (cell("agent")?, cell("registry")?);
-        Ok(Peers { agent, registry, dependency: Rc::new(Cell::new(dependency)) })
+        let (agent, registry) = (cell("agent"), cell("registry"));
+        Peers { agent, registry, dependency: Rc::new(Cell::new(dependency)) }
+    }
+
+    fn try_reload(&self, fixed: &FixedParts) -> Result<(), StartupError> {
+        let document = read_document()?;
+        let in_file = |source| StartupError::Config { path: config_path(), source };
+        self.replace(fixed, &document).map_err(in_file)
+    }
+
+    /// # Errors
+    /// All that is wrong with the document, also with parts that can't change while the program runs: the next start would
+    /// fail on them.
+    fn replace(&self, fixed: &FixedParts, document: &Value) -> Result<(), InvalidDocument> {
+        read_launch(document)?;
+        self.move_to(fixed, document)
     }
 
     /// Takes over the addresses of a document, all of them or none. What else differs is logged and ignored.
-    fn move_to(&self, fixed: &FixedParts, document: &Value) -> Result<(), ConfigError> {
+    fn move_to(&self, fixed: &FixedParts, document: &Value) -> Result<(), InvalidDocument> {
         let new = Peers::read(document)?;
         for key in fixed.changed_keys(&FixedParts::of(document)) {
             tracing::warn!(
@@ -226,26 +240,53 @@
     }
 }
 
-fn read_launch(document: &Value) -> Result<Launch, ConfigError> {
-    let name = text(document, "name")?;
-    if name.is_empty() || name.contains(|c: char| c.is_whitespace() || c.is_control()) {
-        return Err(ConfigError::BadName);
+/// # Errors
+/// All that is wrong with the document.
+fn read_launch(document: &Value) -> Result<Launch, InvalidDocument> {
+    let problems = Problems::default();
+    let top = Section::document(document, &problems);
+    let seed = read_seed(&top.get("seed"));
+    let settings = top.get("settings");
+    if !settings.is_present() {
+        settings.reject("an object");
     }
-    let seed = u64::from_str_radix(text(document, "seed")?, 16).map_err(ConfigError::BadSeed)?;
-    let limits = &document["limits"];
-    Ok(Launch {
-        name: name.to_string(),
-        listen: address(document, "listen")?,
-        peers: Peers::read(document)?,
-        stop_ms: positive(document, "stop_ms")?,
-        limits: Limits::new(positive(limits, "memory_mb")?, positive(limits, "sockets")? as usize),
-        startup: plovershelf_settings::read_value(&document["settings"], seed)
-            .map_err(|error| ConfigError::Settings(error.to_string()))?,
+    let launch = Launch {
+        name: read_name(&top.get("name")),
+        listen: address(&top.get("listen")).unwrap_or_else(no_address),
+        peers: Peers::read_section(document, &top),
+        stop_ms: top.get("stop_ms").required_number(POSITIVE_DURATION_MS).unwrap_or(1.0),
+        limits: read_limits(&top.get("limits").section()),
+        startup: plovershelf_settings::read_section(&settings.section(), seed),
         bulkheads: None,
         group: None,
         changes: None,
         fixed: FixedParts::of(document),
-    })
+    };
+    problems.finish(launch)
+}
+
+fn read_name(entry: &Entry<'_>) -> String {
+    let is_word =
+        |name: &&str| !name.is_empty() && !name.contains(|c: char| c.is_whitespace() || c.is_control());
+    if !entry.is_present() {
+        entry.reject(NAME);
+    }
+    entry.convert(NAME, |value| value.as_str().filter(is_word)).unwrap_or_default().to_string()
+}
+
+fn read_seed(entry: &Entry<'_>) -> u64 {
+    if !entry.is_present() {
+        entry.reject(SEED);
+    }
+    entry.convert(SEED, |value| u64::from_str_radix(value.as_str()?, 16).ok()).unwrap_or_default()
+}
+
+/// The program keeps to memory and descriptors; the platform alone holds it to its cores.
+fn read_limits(limits: &Section<'_>) -> Limits {
+    limits.get("cores").number(CORES);
+    let memory_mb = limits.get("memory_mb").required_number(PROGRAM_MEMORY_MB);
+    let sockets = limits.get("sockets").required_number(SOCKETS);
+    Limits::new(memory_mb.unwrap_or(1.0), sockets.unwrap_or(1.0) as usize)
 }
 
 #[cfg(test)]
--- a/crates/plovershelf-server/src/startup/tests.rs
+++ b/crates/plovershelf-server/src/startup/tests.rs
@@ -62,3 +62,21 @@
     }
     assert!(before.changed_keys(&with("agent", "127.0.0.1:9".into())).is_empty());
 }
+
+/// The document is read again with a slip in the settings: the addresses must stay, as the next start would fail on it.
+#[test]
+fn document_with_wrong_settings_is_refused_whole_when_read_again() {
+    let whole: Value =
+        serde_json::from_str(include_str!("../../tests/fixtures/settings/whole.json")).expect("JSON");
+    let launch = read_launch(&whole).expect("a whole document");
+    let agent = || launch.peers.agent.get().port();
+    let mut moved = whole.clone();
+    moved["agent"] = "127.0.0.1:7".into();
+    let mut wrong = moved.clone();
+    wrong["settings"]["classes"][1]["effect"] = "by_kye".into();
+    let error = launch.peers.replace(&launch.fixed, &wrong).expect_err("a wrong word").to_string();
+    assert_eq!(error, "\"settings.classes[1].effect\": \"by_kye\": repeatable, by_key or once");
+    assert_eq!(agent(), 1);
+    launch.peers.replace(&launch.fixed, &moved).expect("a whole document");
+    assert_eq!(agent(), 7);
+}
--- a/crates/plovershelf-settings/src/words.rs
+++ b/crates/plovershelf-settings/src/words.rs
@@ -1,5 +1,4 @@
-//! The words of the settings, mapped once to the types of [`plovershelf::api`]. A word that is not known
-//! counts as if it were missing, so that settings may say more than this program reads.
+//! The words of the settings, mapped once to the types of [`plovershelf::api`].
 
 use plovershelf::api::{BackpressureSignal, Cancellation, Idempotency};
 
@@ -10,40 +9,40 @@
     Runnable,
 }
 
-pub(crate) fn gauge(word: Option<&str>) -> Option<Gauge> {
-    match word {
-        Some("cpu_busy") => Some(Gauge::CoresBusy),
-        Some("runnable") => Some(Gauge::Runnable),
-        _ => None,
-    }
+/// Where outbound calls go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Dependency {
+    /// One dependency for all backends.
+    Shared,
+    /// The backends of the next tier.
+    NextTier,
+    None,
 }
 
-pub(crate) fn idempotency(word: Option<&str>) -> Idempotency {
-    match word {
-        Some("by_key") => Idempotency::Keyed,
-        Some("once") => Idempotency::NonIdempotent,
-        _ => Idempotency::Idempotent,
-    }
-}
+pub(crate) const IDEMPOTENCY: [(&str, Idempotency); 3] = [
+    ("repeatable", Idempotency::Idempotent),
+    ("by_key", Idempotency::Keyed),
+    ("once", Idempotency::NonIdempotent),
+];
 
-pub(crate) fn cancellation(word: Option<&str>) -> Cancellation {
-    match word {
-        Some("abort") => Cancellation::Abort,
-        Some("suspend") => Cancellation::Pause,
-        _ => Cancellation::Unsupported,
-    }
-}
+pub(crate) const CANCELLATION: [(&str, Cancellation); 3] =
+    [("silent", Cancellation::Unsupported), ("abort", Cancellation::Abort), ("suspend", Cancellation::Pause)];
 
-pub(crate) fn backpressure(word: Option<&str>) -> BackpressureSignal {
-    match word {
-        Some("threshold") => BackpressureSignal::MinimumPriority,
-        Some("window") => BackpressureSignal::ConcurrencyPerClient,
-        Some("share_of") => BackpressureSignal::RateFraction,
-        _ => BackpressureSignal::None,
-    }
-}
+pub(crate) const BACKPRESSURE: [(&str, BackpressureSignal); 4] = [
+    ("silent", BackpressureSignal::None),
+    ("threshold", BackpressureSignal::MinimumPriority),
+    ("window", BackpressureSignal::ConcurrencyPerClient),
+    ("share_of", BackpressureSignal::RateFraction),
+];
 
-/// Whether the outbound calls of all backends go to one dependency.
-pub(crate) fn is_shared_dependency(word: Option<&str>) -> bool {
-    word == Some("shared")
+pub(crate) const DEPENDENCY: [(&str, Dependency); 3] =
+    [("shared", Dependency::Shared), ("tier", Dependency::NextTier), ("silent", Dependency::None)];
+
+/// The gauge of a name; a backend may be handed others that it does not read.
+pub(crate) fn gauge(name: &str) -> Option<Gauge> {
+    match name {
+        "cpu_busy" => Some(Gauge::CoresBusy),
+        "runnable" => Some(Gauge::Runnable),
+        _ => None,
+    }
 }
--- a/crates/plovershelf-settings/tests/settings.rs
+++ b/crates/plovershelf-settings/tests/settings.rs
@@ -15,43 +15,52 @@
 #[test]
 fn settings_that_can_not_be_used_are_named() {
     assert!(error_text("{").starts_with("settings don't parse: EOF while parsing"));
-    assert_eq!(error_text("[]"), "\"settings\" are not an object");
-    assert_eq!(error_text("{}"), "\"settings\": \"classes\" names none");
-    let cores = "\"settings\": \"family_info\": \"cores\" is missing or not above 0";
-    assert_eq!(error_text(r#"{"classes": [{}]}"#), cores);
-    let memory = "\"settings\": \"family_info\": \"memory_kb\" is missing or not above 0";
-    assert_eq!(error_text(r#"{"classes": [{}], "family_info": {"cores": 2, "memory_kb": -1}}"#), memory);
+    assert_eq!(error_text("[]"), "\"settings\": []: an object");
+    assert_eq!(
+        error_text("{}"),
+        "\"settings.classes\": missing: a list of one class at least; \
+         \"settings.family_info.cores\": missing: a number above 0, at most 4096; \
+         \"settings.family_info.memory_kb\": missing: a number above 0, at most 1099511627776"
+    );
+    let memory = r#"{"classes": [{}], "family_info": {"cores": 2, "memory_kb": -1}}"#;
+    assert_eq!(
+        error_text(memory),
+        "\"settings.family_info.memory_kb\": -1: a number above 0, at most 1099511627776"
+    );
 }
 
 #[test]
-fn each_word_has_its_meaning_and_an_unknown_one_counts_as_missing() {
+fn each_word_has_its_meaning_and_an_unknown_one_is_refused() {
     let cancellation = |word: &str| {
-        let startup = read(&with(&format!(r#""halt": "{word}""#)), 7).expect("settings");
-        startup.config.cancellation
+        let startup = read(&with(&format!(r#""halt": "{word}""#)), 7).ok()?;
+        Some(startup.config.cancellation)
     };
     assert_eq!(
         ["abort", "suspend", "silent", "new"].map(cancellation),
-        [Cancellation::Abort, Cancellation::Pause, Cancellation::Unsupported, Cancellation::Unsupported]
+        [Some(Cancellation::Abort), Some(Cancellation::Pause), Some(Cancellation::Unsupported), None]
     );
     let backpressure = |word: &str| {
-        let startup = read(&with(&format!(r#""signal": "{word}""#)), 7).expect("settings");
-        startup.config.backpressure
+        let startup = read(&with(&format!(r#""signal": "{word}""#)), 7).ok()?;
+        Some(startup.config.backpressure)
     };
     assert_eq!(
-        ["threshold", "window", "share_of", "silent"].map(backpressure),
+        ["threshold", "window", "share_of", "silent", "new"].map(backpressure),
         [
-            BackpressureSignal::MinimumPriority,
-            BackpressureSignal::ConcurrencyPerClient,
-            BackpressureSignal::RateFraction,
-            BackpressureSignal::None,
+            Some(BackpressureSignal::MinimumPriority),
+            Some(BackpressureSignal::ConcurrencyPerClient),
+            Some(BackpressureSignal::RateFraction),
+            Some(BackpressureSignal::None),
+            None,
         ]
     );
-    let text = r#"{"classes": [{"effect": "by_key"}, {"effect": "once"}, {"effect": "repeatable"}, {}],
+    let text = r#"{"classes": [{"effect": "by_key", "dedup_window_ms": 9000}, {"effect": "once"}, {"effect": "repeatable"}, {}],
         "family_info": {"cores": 1, "memory_kb": 1}}"#;
-    let classes = read(text, 7).expect("settings").config.classes;
+    let startup = read(text, 7).expect("settings");
+    let classes = startup.config.classes;
+    assert!(startup.warnings[0].starts_with("\"settings.classes[3].effect\" is missing"));
     assert_eq!(
         classes.iter().map(|class| class.idempotency).collect::<Vec<_>>(),
-        [Idempotency::Keyed, Idempotency::NonIdempotent, Idempotency::Idempotent, Idempotency::Idempotent]
+        [Idempotency::Keyed, Idempotency::NonIdempotent, Idempotency::Idempotent, Idempotency::NonIdempotent]
     );
 }
 
