Server: a drain notice does not wait behind a reload of the pools

Operators could see: with pools.ini set, a SIGTERM after a SIGHUP under overload was heard only once the driver's queue had room. Cause: the task of signals awaited the bounded queue with the new plan. Change: a place for the newest plan, and a task of its own to the queue. Evidence: by reading; with the awaited send the order of the test can't be played, as the second plan would wait for ever.

--- a/crates/plovershelf-server/src/service.rs
+++ b/crates/plovershelf-server/src/service.rs
@@ -12,6 +12,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
 use plovershelf::api::BackendConfig;
+use plovershelf_bulkhead::BulkheadPlan;
 use thiserror::Error;
 
 use crate::agent_link::AgentLinks;
@@ -75,11 +76,13 @@
     let slots = Rc::new(());
     let listening = tasks.start_accepting(listener, slots.clone());
     let (give_notice, notice) = async_channel::bounded(1);
+    let (new_bulkheads, newest_bulkheads) = async_channel::bounded(1);
+    forward(executor, newest_bulkheads, &events, Event::Bulkheads);
     let signal_handler = SignalHandler {
         peers,
         fixed,
         agent_moved,
-        events,
+        bulkheads: new_bulkheads,
         classes: startup.classes.clone(),
         config: BackendConfig { tenant_quotas_per_s: Vec::new(), ..startup.config.clone() },
         cluster: cluster.commands.clone(),
@@ -255,7 +258,8 @@
     peers: Peers,
     fixed: FixedParts,
     agent_moved: Sender<()>,
-    events: Sender<Event>,
+    /// The newest plan of bulkheads, on its way to the driver's queue.
+    bulkheads: Sender<BulkheadPlan>,
     classes: plovershelf_settings::Names,
     config: BackendConfig,
     cluster: Option<Sender<cluster::Incoming>>,
@@ -269,17 +273,17 @@
     async fn run(self, mut signals: Signals) {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => self.reload().await,
+                Ok(Signal::Hup) => self.reload(),
                 _ => self.drain(),
             }
         }
     }
 
-    async fn reload(&self) {
+    fn reload(&self) {
         self.peers.reload(&self.fixed);
         let _ = self.agent_moved.try_send(());
         match startup::read_bulkheads(&self.classes, &self.config) {
-            Ok(Some(plan)) => drop(self.events.send(Event::Bulkheads(plan)).await),
+            Ok(Some(plan)) => self.replace_bulkheads(plan),
             Ok(None) => {}
             Err(error) => {
                 tracing::warn!(event = "bulkheads_rejected", "the pools stay as they are: {error}")
@@ -287,6 +291,12 @@
         }
     }
 
+    /// Never waits for the driver's queue: against a drain notice that is heard only once the queue has room. A plan that still
+    /// waits is replaced, as the newer one counts.
+    fn replace_bulkheads(&self, plan: BulkheadPlan) {
+        let _ = self.bulkheads.force_send(plan);
+    }
+
     fn drain(&self) {
         if let Some(cluster) = &self.cluster {
             let _ = cluster.try_send(cluster::Incoming::DrainNotice { within_ms: self.handoff_ms });
@@ -297,3 +307,6 @@
         let _ = self.give_notice.try_send(unix_ms());
     }
 }
+
+#[cfg(test)]
+mod tests;
