Gossip: only its own target's acknowledgement answers a probe

Operators could see: a member whose address another process had taken over was not suspected by the group's probes. Cause: the pending probe was removed by its nonce before it was checked who acknowledged it. Change: it is removed only by its target's word.

--- a/crates/plovershelf-cluster/src/gossip/probe.rs
+++ b/crates/plovershelf-cluster/src/gossip/probe.rs
@@ -63,6 +63,13 @@
         self.probes.remove(&nonce)
     }
 
+    /// The probe that its own target acknowledges. Another node's word, as of one that has taken over the target's address,
+    /// leaves it pending.
+    pub(super) fn remove_acknowledged(&mut self, nonce: u64, by: NodeId) -> Option<Probe> {
+        self.probes.get(&nonce).filter(|probe| probe.target == by)?;
+        self.probes.remove(&nonce)
+    }
+
     pub(super) fn clear(&mut self) {
         self.probes.clear();
     }
--- a/crates/plovershelf-cluster/src/gossip/swim.rs
+++ b/crates/plovershelf-cluster/src/gossip/swim.rs
@@ -268,7 +268,7 @@
     }
 
     fn handle_ack(&mut self, nonce: u64, from: NodeId) {
-        let Some(probe) = self.probes.remove(nonce).filter(|probe| probe.target == from) else { return };
+        let Some(probe) = self.probes.remove_acknowledged(nonce, from) else { return };
         let Some(Requester { id, nonce }) = probe.requester else { return self.health.record_ack() };
         let Some(address) = self.table.address_of(id) else { return };
         let updates = self.updates_for(Some(id));
--- a/crates/plovershelf-cluster/src/gossip/swim/tests.rs
+++ b/crates/plovershelf-cluster/src/gossip/swim/tests.rs
@@ -161,3 +161,44 @@
         assert!(one.poll_messages().is_empty(), "{length}");
     }
 }
+
+/// The nonce of the one ping to a member among what is to be sent.
+fn ping_nonce(messages: &[(Destination, Message)], to: u64) -> Option<u64> {
+    messages.iter().find_map(|(destination, message)| match message {
+        Message::Ping { nonce, .. } if destination.id == Some(NodeId(to)) => Some(*nonce),
+        _ => None,
+    })
+}
+
+/// A member with one other, which it has just probed; the time and the probe's nonce.
+fn probing() -> (Swim, f64, u64) {
+    let mut one = knowing(1, 2..3);
+    loop {
+        let now_ms = one.poll_timeout();
+        one.handle_timeout(now_ms);
+        if let Some(nonce) = ping_nonce(&one.poll_messages(), 2) {
+            return (one, now_ms, nonce);
+        }
+    }
+}
+
+fn state_of(one: &Swim, number: u64) -> Option<MemberState> {
+    one.find(NodeId(number)).map(|update| update.state)
+}
+
+/// A member is gone and another node answers at its address: the probe must stay unanswered, so that the member that is gone is
+/// suspected all the same.
+#[test]
+fn ack_of_another_node_answers_no_probe() {
+    let (mut one, probed_ms, nonce) = probing();
+    let stranger = Message::Ack { nonce, updates: Vec::new() };
+    one.handle_message(probed_ms + 1.0, NodeId(3), node(2).address, stranger);
+    one.handle_timeout(probed_ms + one.config.probe_interval_ms);
+    assert_eq!(state_of(&one, 2), Some(MemberState::Suspect));
+
+    let (mut other, probed_ms, nonce) = probing();
+    let own = Message::Ack { nonce, updates: Vec::new() };
+    other.handle_message(probed_ms + 1.0, NodeId(2), node(2).address, own);
+    other.handle_timeout(probed_ms + other.config.probe_interval_ms);
+    assert_eq!(state_of(&other, 2), Some(MemberState::Alive));
+}
