Tests: calls go on after the dependency was down, at any speed of the steps

Seen: calls_go_on_after_the_ledger_was_down_broke_off_or_spoke_nonsense failed at a load of 25 and more. Cause: its three requests are sent at the start and run out after 20 s, by their time and by their class's objective, while the steps are played one by one; a busy machine took longer. Change: requests and classes of this test last an hour. Every step and every expectation is as before. The scripted peers' own patience of 20 s a message stays.

--- a/crates/plovershelf-server/tests/process.rs
+++ b/crates/plovershelf-server/tests/process.rs
@@ -84,11 +84,18 @@
 
 #[test]
 fn calls_go_on_after_the_ledger_was_down_broke_off_or_spoke_nonsense() {
-    let (mut backend, mut agent) = Backend::usual();
+    // All three are open from the beginning on: none of them may run out, however slowly the steps are played.
+    let an_hour = |text: String| {
+        let text = text.replace("\"deadline_ms\": 30000.0", "\"deadline_ms\": 3600000.0");
+        text.replace("\"aim_ms\": 20000.0", "\"aim_ms\": 3600000.0")
+    };
+    let mut backend = Backend::start_as(r#"{"cores": 1.0, "memory_mb": 192, "sockets": 1024}"#, an_hour);
+    let mut agent = backend.agent_up();
     let mut sidecar = backend.sidecar();
-    sidecar.send(&dispatch(2, 2, "single", &[], b""));
-    sidecar.send(&dispatch(3, 3, "plain", &[], b""));
-    sidecar.send(&dispatch(4, 4, "single", &[], b""));
+    let patient = [("d", "3600000")];
+    sidecar.send(&dispatch(2, 2, "single", &patient, b""));
+    sidecar.send(&dispatch(3, 3, "plain", &patient, b""));
+    sidecar.send(&dispatch(4, 4, "single", &patient, b""));
     (0..3).for_each(|_| drop(agent.expect("launch")));
     // A refused connection and a call that was turned away prove that nothing ran.
     let address = backend.ledger.local_addr().expect("an address");
