Soak: backends under overlapping faults, judged by callers and peers

Change: plovershelf trial soak draws settings, limits, load and eight to fourteen faults from a seed, and judges eleven promises by the histories of callers, bad clients and agents. Times are judged with what the machine itself took. The testkit gains a client that writes down all that passes, paths to agent and dependency without a cluster, a registry that refuses, and launches by attempt. Five variants of the server (feature broken) show that breaking a promise is found.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# CI runs `make lint build test`; `make run` starts one backend with the configuration named by CONFIG.
+# CI runs `make lint build test soak`; `make run` starts one backend with the configuration named by CONFIG.
 CONFIG ?= $(RELAY_CONFIG)
 
-.PHONY: all build test lint run demo
+.PHONY: all build test soak lint run demo
 
 all: lint build test
 
@@ -11,6 +11,9 @@
 test:
 	.ci/test
 
+soak: build
+	.ci/soak
+
 lint:
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
--- a/crates/plovershelf-cli/src/demo.rs
+++ b/crates/plovershelf-cli/src/demo.rs
@@ -54,6 +54,7 @@
         logs: None,
         pools: None,
         cluster: None,
+        peer_paths: false,
     };
     let span_ms = f64::from(options.seconds) * 1000.0;
     let capacity = CORES * 1000.0 / load::mean_work_ms();
--- a/crates/plovershelf-cli/src/trial/client_overload.rs
+++ b/crates/plovershelf-cli/src/trial/client_overload.rs
@@ -43,6 +43,7 @@
         logs: ground.logs.clone(),
         pools: None,
         cluster: None,
+        peer_paths: false,
     }
 }
 
--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -12,6 +12,7 @@
 mod pools;
 mod ramp;
 mod scale;
+mod soak;
 mod zones;
 mod zones_model;
 
@@ -48,7 +49,7 @@
     /// Members of simulated groups.
     #[arg(long)]
     members: Option<usize>,
-    /// Seeds that are played, of simulated ones.
+    /// Seeds that are played, of simulated ones and of the soak.
     #[arg(long)]
     seeds: Option<u64>,
     /// Callers that rest on connections to real backends.
@@ -211,7 +212,7 @@
 
 type Run = fn(&Ground) -> Result<Figures, String>;
 
-const TRIALS: [(&str, &str, Run); 13] = [
+const TRIALS: [(&str, &str, Run); 14] = [
     (
         "client-overload",
         "three backends, forty callers, 160 % of what the cores do; against a plain caller",
@@ -267,6 +268,11 @@
         "a group of up to 920: hollow members beside four real backends, costs by the system's accounts, deaths and changes",
         scale::run,
     ),
+    (
+        "soak",
+        "two to six backends under overlapping faults of all kinds, judged by callers and peers; --seeds N plays as many seeds",
+        soak::run,
+    ),
     (
         "group-model",
         "simulated groups: --members 9|90|900 --seeds N; promises, times and bytes as they grow",
--- a/crates/plovershelf-cli/src/trial/pools.rs
+++ b/crates/plovershelf-cli/src/trial/pools.rs
@@ -105,6 +105,7 @@
         logs: ground.logs.clone(),
         pools: pools.then(|| file.clone()),
         cluster: None,
+        peer_paths: false,
     };
     let planned = Rc::new(planned(ground, phase_ms, cheap));
     let mut fleet =
--- a/crates/plovershelf-cli/src/trial/ramp.rs
+++ b/crates/plovershelf-cli/src/trial/ramp.rs
@@ -94,6 +94,7 @@
         logs: ground.logs.clone(),
         pools: None,
         cluster: None,
+        peer_paths: false,
     };
     let rate = DEMAND * backends as f64 * CORES * 1000.0 / load::mean_work_ms();
     let planned = Rc::new(load::schedule(ground.seed, CALLERS, span_ms, |_| rate));
--- a/crates/plovershelf-cli/src/trial/scale/calls.rs
+++ b/crates/plovershelf-cli/src/trial/scale/calls.rs
@@ -83,6 +83,7 @@
             logs: ground.logs.clone(),
             pools: None,
             cluster: None,
+            peer_paths: false,
         };
         let executor = &ground.executor;
         let fleet =
--- a/crates/plovershelf-server/src/driver.rs
+++ b/crates/plovershelf-server/src/driver.rs
@@ -293,6 +293,12 @@
         Duration::from_secs_f64(left_ms.clamp(self.limits.exit_margin_ms / 2.0, max_ms) / 1000.0)
     }
 
+    /// Whether the exit comes within a span.
+    fn is_about_to_exit(&self, within_ms: f64) -> bool {
+        let exit = self.timeouts.iter().find(|(_, timeout, _)| *timeout == Timeout::Exit);
+        exit.is_some_and(|(time, ..)| f64::from_bits(*time) - self.now_ms <= within_ms)
+    }
+
     /// The next event or notice, or nothing where a time-out comes first.
     async fn next_input(&mut self) -> Input {
         self.set_timer();
--- a/crates/plovershelf-server/src/driver/admission.rs
+++ b/crates/plovershelf-server/src/driver/admission.rs
@@ -9,6 +9,7 @@
 use super::open_request::{LaunchState, OpenRequest, OutboundCall};
 use super::replication::ReplicationStage;
 use super::Driver;
+use crate::broken;
 use crate::deduplication::{body_hash, DeduplicationKey, Known, Lookup, NO_OBJECT};
 use crate::event::ConnectionId;
 
@@ -144,7 +145,8 @@
         let body_hash = key.as_ref().map_or(0, |_| body_hash(request.body));
         let max_age_ms = self.startup.config.shared_response_ms;
         let lookup = Lookup { body_hash, arrived_ms, is_keyed, max_age_ms };
-        let known = key.as_ref().map(|key| self.deduplication.lookup(key, lookup));
+        let lookup_key = key.as_ref().filter(|_| !broken::forgets_keys());
+        let known = lookup_key.map(|key| self.deduplication.lookup(key, lookup));
         let (key, duplicate_of) = match known {
             Some(Known::Nothing) if self.deduplication.is_full() && is_keyed => {
                 return Err(RejectReason::NoMemoryForKey);
--- a/crates/plovershelf-server/src/driver/clients.rs
+++ b/crates/plovershelf-server/src/driver/clients.rs
@@ -15,6 +15,7 @@
 
 use super::admission::{RejectReason, RequestFrame};
 use super::Driver;
+use crate::broken::{self, Broken, LAST_ANSWERS_MS};
 use crate::connection_state::PhaseEvent;
 use crate::event::{ConnectionId, ReadError};
 use crate::outbox::{Outbox, QueueFull};
@@ -323,6 +324,9 @@
 
     /// Queues a frame. Where too much waits to be written, the connection that most waits for is ended.
     pub(super) fn send(&mut self, connection: ConnectionId, mut frame: Vec<u8>) {
+        if broken::is(Broken::LastAnswersDropped) && self.is_about_to_exit(LAST_ANSWERS_MS) {
+            return;
+        }
         while let Some(client) = self.connections.get(&connection) {
             let slowest = match client.outbox.push(frame) {
                 Ok(()) => return,
--- a/crates/plovershelf-server/src/lib.rs
+++ b/crates/plovershelf-server/src/lib.rs
@@ -16,9 +16,11 @@
 //! | `registry` | heartbeats |
 //! | `streams`, `links`, `log_limit` | bounded reading and writing; links among processes; lines of the log that others cause |
 //! | [`cluster`], [`config_distribution`] | the drivers of cluster, replication and failover, and of configuration distribution |
+//! | `broken` | variants that break a promise, for the soak's own check |
 //! | `entropy` | random numbers that no other start draws |
 
 mod agent_link;
+mod broken;
 mod client_io;
 pub mod cluster;
 pub mod config_distribution;
--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -1,6 +1,8 @@
 //! Sizes, counts and times that bound serving, filled at start and handed down. Those of links and of the threads of cluster and
 //! configuration distribution stand in their own files.
 
+use crate::broken::{self, Broken};
+
 /// Descriptors kept back for the listener, the agent, the dependency, the registry, the standard streams and the event
 /// queue.
 const RESERVED_SOCKETS: usize = 16;
@@ -15,6 +17,9 @@
 /// Fewer clients' connections are never allowed.
 const MIN_CONNECTIONS: usize = 4;
 
+/// Connections where descriptors are not counted, in a variant for tests.
+const UNCOUNTED_CONNECTIONS: usize = 1 << 20;
+
 /// Bounds of the whole program.
 #[derive(Clone, Debug)]
 pub(crate) struct Limits {
@@ -146,6 +151,8 @@
         let reserved = RESERVED_SOCKETS + max_dependency_connections;
         let max_connections =
             sockets.saturating_sub(reserved).min(memory_bytes / CONNECTION_BYTES).max(MIN_CONNECTIONS);
+        let max_connections =
+            if broken::is(Broken::DescriptorsNotCounted) { UNCOUNTED_CONNECTIONS } else { max_connections };
         Limits {
             max_connections,
             max_requests_per_connection: 32,
--- a/crates/plovershelf-server/src/listener.rs
+++ b/crates/plovershelf-server/src/listener.rs
@@ -16,6 +16,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use thiserror::Error;
 
+use crate::broken::{self, Broken};
 use crate::client_io::{read_until_end, write_until_end};
 use crate::connection_state::ConnectionState;
 use crate::event::{ConnectionId, Event};
@@ -124,6 +125,9 @@
     /// The next connection; `None` when accepting is over and none is left in the listen queue.
     async fn next(&self) -> Option<Async<TcpStream>> {
         loop {
+            if self.stop.is_closed() && broken::is(Broken::ListenQueueDropped) {
+                return None;
+            }
             if self.stop.is_closed() {
                 let accepted = self.listener.get_ref().accept();
                 return accepted.ok().and_then(|(stream, _)| Async::new(stream).ok());
--- a/crates/plovershelf-server/src/service.rs
+++ b/crates/plovershelf-server/src/service.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::agent_link::AgentLinks;
+use crate::broken::{self, Broken, NOTICE_DELAY};
 use crate::dependency::DependencyCalls;
 use crate::driver::{unix_ms, Driver, DriverQueues};
 use crate::event::{CallCommand, Event};
@@ -280,6 +281,7 @@
     }
 
     fn reload(&self) {
+        broken::record_reload();
         self.peers.reload(&self.fixed);
         let _ = self.agent_moved.try_send(());
         match startup::read_bulkheads(&self.classes, &self.config) {
@@ -304,6 +306,14 @@
         if let Some(distribution) = &self.distribution {
             let _ = distribution.try_send(config_distribution::Input::Shutdown);
         }
+        if broken::is(Broken::NoticeHeardLate) {
+            let give_notice = self.give_notice.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(NOTICE_DELAY);
+                let _ = give_notice.try_send(unix_ms());
+            });
+            return;
+        }
         let _ = self.give_notice.try_send(unix_ms());
     }
 }
--- a/crates/plovershelf-server/tests/clients.rs
+++ b/crates/plovershelf-server/tests/clients.rs
@@ -48,6 +48,7 @@
         logs: None,
         pools: None,
         cluster: None,
+        peer_paths: false,
     }
 }
 
--- a/crates/plovershelf-server/tests/group.rs
+++ b/crates/plovershelf-server/tests/group.rs
@@ -48,6 +48,7 @@
             folders: true,
             more: String::new(),
         }),
+        peer_paths: false,
     }
 }
 
--- a/crates/plovershelf-testkit/examples/tenants.rs
+++ b/crates/plovershelf-testkit/examples/tenants.rs
@@ -50,6 +50,7 @@
         logs: None,
         pools: None,
         cluster: None,
+        peer_paths: false,
     };
     let executor: Executor = Rc::default();
     let clock = Clock::start();
--- a/crates/plovershelf-testkit/src/agent/state.rs
+++ b/crates/plovershelf-testkit/src/agent/state.rs
@@ -223,6 +223,7 @@
         let overload = self.executions_on_cores() as f64 / sustained;
         let mut effects = self.effects.borrow_mut();
         effects.record_start(&work, self.process());
+        effects.launched.entry(id).or_default().push(now_ms);
         effects.launched_after_drain += u64::from(now_ms > self.drain_deadline_ms);
         effects.peak_overload = effects.peak_overload.max(overload);
         let calls_left = work.outbound_calls;
--- a/crates/plovershelf-testkit/src/effects.rs
+++ b/crates/plovershelf-testkit/src/effects.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use plovershelf_codec::AttemptId;
+
 use crate::work::{Idempotency, WorkSpec};
 
 /// One process: its backend's index, and how often that backend was started.
@@ -22,6 +24,8 @@
     /// Executions of each request, by the process that had them.
     executions: BTreeMap<(u64, ProcessId), Executions>,
     idempotency: BTreeMap<u64, Idempotency>,
+    /// Times at which each attempt was launched, by the trial's clock.
+    pub launched: BTreeMap<AttemptId, Vec<f64>>,
     /// Launches after a backend's drain deadline.
     pub launched_after_drain: u64,
     /// Commands that no backend should send.
--- a/crates/plovershelf-testkit/src/fleet.rs
+++ b/crates/plovershelf-testkit/src/fleet.rs
@@ -20,6 +20,8 @@
 
 /// Seed of the first backend; each next one's is one more.
 const FIRST_SEED: u64 = 0x8c1f_30d2_7a5b_e964;
+/// Seed of what the path to the dependency loses.
+const DEPENDENCY_PATH_SEED: u64 = 0x0dec;
 /// How often [`Fleet::up`] looks.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -48,6 +50,8 @@
     pub pools: Option<PathBuf>,
     /// A cluster of all backends, with a path between each two and one before each agent.
     pub cluster: Option<ClusterConfig>,
+    /// A path before each agent and one before the dependency, where faults are played.
+    pub peer_paths: bool,
 }
 
 /// A running fleet; its processes and files go with it.
@@ -60,6 +64,8 @@
     pub effects: SharedLedger,
     /// The registry of all.
     pub registry: Registry,
+    /// The path to the dependency, where faults are played.
+    pub dependency_path: Option<NetworkPath>,
     /// The cluster's paths and files, where there is one.
     pub cluster: Option<Cluster>,
     pub(crate) stop_ms: f64,
@@ -78,9 +84,12 @@
         let cluster = config.cluster.as_ref();
         let cluster = cluster.map(|cluster| Cluster::start(executor, &folder, config.backends, cluster));
         let cluster = cluster.transpose()?;
-        let backends = Vec::new();
-        let stop_ms = config.stop_ms;
-        let mut fleet = Fleet { backends, dependency, effects, registry, cluster, stop_ms, folder };
+        let (backends, stop_ms) = (Vec::new(), config.stop_ms);
+        let dependency_path =
+            config.peer_paths.then(|| NetworkPath::start(executor, dependency.address, DEPENDENCY_PATH_SEED));
+        let dependency_path = dependency_path.transpose()?;
+        let mut fleet =
+            Fleet { backends, dependency, effects, registry, dependency_path, cluster, stop_ms, folder };
         for index in 0..config.backends {
             let mut backend = fleet.create_backend(executor, clock, config, index)?;
             backend.start()?;
@@ -116,8 +125,8 @@
     ) -> io::Result<Backend> {
         let agent = Agent::start(executor, clock, index, config.cores, self.effects.clone())?;
         let (name, address) = (format!("n{}", index + 1), free_address()?);
-        let agent_path = self.cluster.as_ref();
-        let agent_path = agent_path.map(|_| NetworkPath::start(executor, agent.address, index as u64));
+        let has_path = self.cluster.is_some() || config.peer_paths;
+        let agent_path = has_path.then(|| NetworkPath::start(executor, agent.address, index as u64));
         let agent_path = agent_path.transpose()?;
         let agent_address = agent_path.as_ref().map_or(agent.address, |path| path.address);
         let cluster = self.cluster.as_ref().map(|cluster| {
@@ -148,7 +157,7 @@
     ) -> Value {
         json!({
             "name": format!("n{}", index + 1), "listen": address.to_string(), "agent": agent.to_string(),
-            "records": self.dependency.address.to_string(), "registry": self.registry.address.to_string(),
+            "records": self.dependency_path.as_ref().map_or(self.dependency.address, |path| path.address).to_string(), "registry": self.registry.address.to_string(),
             "seed": format!("{:016x}", FIRST_SEED + index as u64), "stop_ms": config.stop_ms,
             "limits": {"cores": 1.0, "memory_mb": config.memory_mb, "sockets": config.sockets},
             "settings": config.settings,
--- a/crates/plovershelf-testkit/src/lib.rs
+++ b/crates/plovershelf-testkit/src/lib.rs
@@ -2,7 +2,7 @@
 //! a ledger of effects by which trials judge: never by what the backend reports of itself. All run on one thread's
 //! executor.
 //!
-//! - Peers: [`agent`] (executes requests on modelled [`cores`]), [`dependency`], [`registry`], [`basic_client`],
+//! - Peers: [`agent`] (executes requests on modelled [`cores`]), [`dependency`], [`registry`], [`basic_client`], [`recording_client`],
 //!   [`scripted`] (played message by message by a test), [`origin_servers`] of configuration distribution.
 //! - Judging: [`work`] (what a request asks for), [`effects`] (what was done), [`tap`] (what passed on the wire).
 //! - Real processes: [`backend`] (one), [`fleet`] (several with their peers), [`cluster`] (paths and files of a cluster
@@ -26,6 +26,7 @@
 mod framing;
 pub mod origin_servers;
 pub mod path;
+pub mod recording_client;
 pub mod registry;
 pub mod scripted;
 pub mod tap;
