Server: no connection comes between the last of the listen queue and the close

Cause: between the last look at the listen queue and the close of the listener a connection can come; the system resets it. Change: once the queue is empty a filter on the listener drops what asks for a connection, the queue is looked at once more, then the listener closes.

--- a/crates/plovershelf-server/src/listener.rs
+++ b/crates/plovershelf-server/src/listener.rs
@@ -14,6 +14,8 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use socket2::{Domain, Protocol, Socket, Type};
+#[cfg(target_os = "linux")]
+use socket2::{SockFilter, SockRef};
 use thiserror::Error;
 
 use crate::broken::{self, Broken};
@@ -65,6 +67,20 @@
     Async::new(socket.into())
 }
 
+/// No connection comes into being on a listener from now on: what asks for one is dropped, asks again after a second, and is refused
+/// once the listener is closed. Without it a connection could come between the last look at the listen queue and the close, which
+/// resets it though its peer may have sent a request. Where the system has no such filter, that moment stays.
+fn stop_handshakes(listener: &TcpListener) {
+    #[cfg(target_os = "linux")]
+    {
+        /// Accept no byte of any packet (`BPF_RET | BPF_K`, 0).
+        const DROP_ALL: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+        let _ = SockRef::from(listener).attach_filter(&[DROP_ALL]);
+    }
+    #[cfg(not(target_os = "linux"))]
+    let _ = listener;
+}
+
 /// Accepts connections and runs a reader and a writer for each.
 pub(crate) struct Acceptor {
     pub(crate) executor: &'static LocalExecutor<'static>,
@@ -129,8 +145,11 @@
                 return None;
             }
             if self.stop.is_closed() {
-                let accepted = self.listener.get_ref().accept();
-                return accepted.ok().and_then(|(stream, _)| Async::new(stream).ok());
+                // What comes between the last of the queue and the close would be reset with its request.
+                return self.accept_queued().or_else(|| {
+                    stop_handshakes(self.listener.get_ref());
+                    self.accept_queued()
+                });
             }
             let accepted = async { Some(self.listener.accept().await) };
             let stopped = async {
@@ -148,6 +167,12 @@
         }
     }
 
+    /// The next connection of the listen queue, if there is one.
+    fn accept_queued(&self) -> Option<Async<TcpStream>> {
+        let (stream, _) = self.listener.get_ref().accept().ok()?;
+        Async::new(stream).ok()
+    }
+
     /// Starts the tasks of a connection; false where the program ends.
     async fn start(
         &self,
--- a/crates/plovershelf-server/src/listener/tests.rs
+++ b/crates/plovershelf-server/src/listener/tests.rs
@@ -153,3 +153,25 @@
     };
     async_io::block_on(executor.run(play));
 }
+
+/// A connection comes after the listen queue was emptied and before the listener closes, and would be reset with its request: it must
+/// not come into being, what stands in the queue must still be taken, and after the close it must be refused.
+#[cfg(target_os = "linux")]
+#[test]
+fn connection_between_the_last_of_the_queue_and_the_close_does_not_come_into_being() {
+    let (listener, callers) = queued(&[&b"one"[..]; 2]);
+    let at = listener.get_ref().local_addr().expect("an address");
+    stop_handshakes(listener.get_ref());
+    let late = TcpStream::connect_timeout(&at, Duration::from_millis(200));
+    assert_eq!(late.map(drop).map_err(|error| error.kind()), Err(io::ErrorKind::TimedOut));
+    for _ in &callers {
+        let (mut taken, _) = listener.get_ref().accept().expect("one of the queue");
+        taken.set_nonblocking(false).expect("a socket");
+        let mut said = [0; 3];
+        taken.read_exact(&mut said).expect("what it sent");
+        assert_eq!(&said, b"one");
+    }
+    drop(listener);
+    let refused = TcpStream::connect_timeout(&at, Duration::from_secs(20));
+    assert_eq!(refused.map(drop).map_err(|error| error.kind()), Err(io::ErrorKind::ConnectionRefused));
+}
