Soak: what ends after the run is not judged

Change: connections and bad clients that end after the run count as still open. All checks of what ends within the run stay.

--- a/crates/plovershelf-cli/src/trial/soak/judge.rs
+++ b/crates/plovershelf-cli/src/trial/soak/judge.rs
@@ -113,7 +113,9 @@
             violations.push(Violation { promise: Promise::EffectOnce, history: self.history_of(number) });
         }
         violations.extend(self.judge_processes());
-        violations.extend(self.seen.bad_clients.iter().filter_map(|client| self.judge_bad_client(client)));
+        // One that still waits as the run ends is reset with its backend.
+        let judged = self.seen.bad_clients.iter().filter(|client| client.ended_ms <= self.ended_ms);
+        violations.extend(judged.filter_map(|client| self.judge_bad_client(client)));
         violations
     }
 
@@ -178,7 +180,8 @@
         let connection = &self.history.connections[attempt.connection?];
         let backend = connection.backend;
         let due_ms = attempt.sent_ms + attempt.timeout_ms + SLACK_MS;
-        let Some((end_ms, end)) = connection.end else {
+        // What ends after the run ends with its backends.
+        let Some((end_ms, end)) = connection.end.filter(|(end_ms, _)| *end_ms <= self.ended_ms) else {
             let held_up_ms = self.disturbance.between(backend, attempt.sent_ms, self.ended_ms);
             let is_due = due_ms + held_up_ms < self.ended_ms;
             let paused = self.was_paused(backend, attempt.sent_ms, self.ended_ms);
