Server: the listen queue waits for descriptors as accepting ends

Cause: with all connections taken the listener was closed at once over its queue. Change: up to 160 ms of waiting for a descriptor, while silent connections make room; the rest is reset as before. Evidence: the new test found the listener closed over its queue before, and both queued requests are taken now; 7 of 7 of the listener's tests.

--- a/crates/plovershelf-server/src/limits.rs
+++ b/crates/plovershelf-server/src/limits.rs
@@ -79,6 +79,8 @@
     pub(crate) max_evictions: usize,
     /// No connection that has sent something makes room while this many are ending.
     pub(crate) max_ending_connections: usize,
+    /// What stands in the listen queue as accepting ends waits this long for others' descriptors; the rest is reset.
+    pub(crate) listen_queue_timeout_ms: u64,
     /// Accepting pauses for this long when descriptors are short.
     pub(crate) accept_pause_ms: u64,
     /// Faults that end a connection where they may be another client's.
@@ -184,6 +186,7 @@
             min_silent_ms_when_full: 20.0,
             max_evictions: 32,
             max_ending_connections: 8,
+            listen_queue_timeout_ms: 160,
             accept_pause_ms: 2,
             max_faults: 16,
             max_line_bytes: 10 << 10,
--- a/crates/plovershelf-server/src/listener.rs
+++ b/crates/plovershelf-server/src/listener.rs
@@ -97,8 +97,9 @@
     /// Accepts until `stop` is closed, then what stands in the listen queue.
     pub(crate) async fn run(self) {
         let unwritten_of_all = Rc::new(Cell::new(0));
+        let mut last_accept = None;
         for connection in 0.. {
-            if !self.wait_for_slot().await {
+            if !self.wait_for_slot(&mut last_accept).await {
                 return;
             }
             if self.is_full() {
@@ -117,9 +118,10 @@
         Rc::strong_count(&self.slots) > self.limits.max_connections
     }
 
-    /// Waits until one more connection is possible or accepting is to end; false where the program ends.
-    async fn wait_for_slot(&self) -> bool {
-        while self.is_full() && !self.stop.is_closed() {
+    /// Waits until one more connection is possible, and once accepting is to end no longer than what stands in the listen queue may
+    /// wait; false where the program ends.
+    async fn wait_for_slot(&self, last_accept: &mut Option<Instant>) -> bool {
+        while self.is_full() && !self.is_over(last_accept) {
             let why = format!("{} connections are open", self.limits.max_connections);
             if !self.report_crowded(why).await {
                 return false;
@@ -129,6 +131,13 @@
         true
     }
 
+    /// Whether accepting is to end and the time for the listen queue is over, which counts from the first call that finds the end.
+    fn is_over(&self, last_accept: &mut Option<Instant>) -> bool {
+        let timeout = Duration::from_millis(self.limits.listen_queue_timeout_ms);
+        self.stop.is_closed()
+            && *last_accept.get_or_insert_with(|| Instant::now() + timeout) <= Instant::now()
+    }
+
     async fn report_crowded(&self, why: String) -> bool {
         let open = Rc::strong_count(&self.slots);
         self.events.send(Event::Crowded { why, open }).await.is_ok()
--- a/crates/plovershelf-server/src/listener/tests.rs
+++ b/crates/plovershelf-server/src/listener/tests.rs
@@ -175,3 +175,32 @@
     let refused = TcpStream::connect_timeout(&at, Duration::from_secs(20));
     assert_eq!(refused.map(drop).map_err(|error| error.kind()), Err(io::ErrorKind::ConnectionRefused));
 }
+
+/// Accepting ends while all connections are taken, and others end a moment later: what stands in the listen queue must be taken then,
+/// and not be reset with its request.
+#[test]
+fn listen_queue_waits_for_descriptors_as_accepting_ends() {
+    let (listener, _callers) = queued(&[&b"\0\0\0\x03one"[..]; 2]);
+    let (listening, stop) = async_channel::bounded(1);
+    drop(listening);
+    let (events, inbox) = async_channel::bounded(1);
+    let limits = Rc::new(Limits { max_connections: 4, ..Limits::new(64.0, 512) });
+    let slots = Rc::new(());
+    let others: Vec<Rc<()>> = std::iter::repeat_n(slots.clone(), 4).collect();
+    let executor = leaked();
+    let play = async {
+        executor.spawn(Acceptor { executor, listener, stop, slots, events, limits }.run()).detach();
+        let crowded = inbox.recv().await.expect("a word");
+        assert!(matches!(crowded, Event::Crowded { .. }), "the listener closed over its queue");
+        drop(others);
+        let mut connected = 0;
+        loop {
+            match inbox.recv().await.expect("a word") {
+                Event::Connected { .. } => connected += 1,
+                Event::ListenerClosed => return connected,
+                _ => {}
+            }
+        }
+    };
+    assert_eq!(async_io::block_on(executor.run(play)), 2);
+}
