--- a/crates/plovershelf-cli/src/trial/mod.rs
+++ b/crates/plovershelf-cli/src/trial/mod.rs
@@ -49,7 +49,7 @@
     /// Members of simulated groups.
     #[arg(long)]
     members: Option<usize>,
-    /// Seeds that are played, of simulated ones and of the soak.
+    /// Seeds that are played, of simulated ones.
     #[arg(long)]
     seeds: Option<u64>,
     /// Callers that rest on connections to real backends.
