--- a/review/standins/case1.rs
+++ b/review/standins/case1.rs
@@ -62,7 +62,7 @@
     let mut members = Vec::new();
     for index in 0..MEMBERS {
         let name = format!("n{}", index + 1);
-        let (address, agent) = (free_address(), start_agent(&name, launches.clone(), record.clone()));
+        let (address, agent) = (free_address(), start_agent(&name, launches.clone(), usual_speed(), record.clone()));
         let config = folder.file(
             &format!("{name}.json"),
             &format!(
--- a/review/standins/case2.rs
+++ b/review/standins/case2.rs
@@ -135,7 +135,7 @@
     let (run, registry) = (deploy_command("run"), start_registry());
     let mut backends: Vec<(SocketAddr, Process)> = Vec::new();
     for name in ["a", "b"] {
-        let (address, agent) = (free_address(), start_agent(name, launches.clone(), record.clone()));
+        let (address, agent) = (free_address(), start_agent(name, launches.clone(), usual_speed(), record.clone()));
         let config = folder.file(
             &format!("{name}.json"),
             &format!(
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -189,9 +189,16 @@
     }
 }
 
+/// How slow an agent's cores are, in percent of the usual time.
+pub type Slowness = Arc<AtomicU64>;
+
+pub fn usual_speed() -> Slowness {
+    Arc::new(AtomicU64::new(100))
+}
+
 /// Starts an agent. A body may name the length of its run: `...;ms=40;...`; a run succeeds with a result that names
 /// the agent, the run's number and the body.
-pub fn start_agent(name: &str, launches: Launches, record: Record) -> SocketAddr {
+pub fn start_agent(name: &str, launches: Launches, slowness: Slowness, record: Record) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let state = Arc::new(Mutex::new(AgentState::default()));
@@ -199,9 +206,9 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (state, launches, record) = (state.clone(), launches.clone(), record.clone());
-            let name = name.clone();
+            let (name, slowness) = (name.clone(), slowness.clone());
             thread::spawn(move || {
-                let _ = agent_link(stream, &name, &state, &launches, &record);
+                let _ = agent_link(stream, &name, &state, &launches, &slowness, &record);
             });
         }
     });
@@ -215,6 +222,7 @@
     name: &str,
     state: &Arc<Mutex<AgentState>>,
     launches: &Launches,
+    slowness: &Slowness,
     record: &Record,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -253,7 +261,7 @@
                 reader.read_exact(&mut body)?;
                 body.truncate(body.len() - 2);
                 let body = String::from_utf8_lossy(&body).into_owned();
-                launch(name, id, body, state, launches, record);
+                launch(name, id, body, state, launches, slowness, record);
             }
             ["deliver", _, length] => {
                 let mut body = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
@@ -286,6 +294,7 @@
     body: String,
     state: &Arc<Mutex<AgentState>>,
     launches: &Launches,
+    slowness: &Slowness,
     record: &Record,
 ) {
     if state.lock().unwrap().running.insert(id.to_string(), Instant::now()).is_some() {
@@ -300,6 +309,7 @@
         body: body.clone(),
     });
     let ms: u64 = body.split(';').find_map(|part| part.strip_prefix("ms=")).map_or(20, |ms| ms.parse().unwrap());
+    let ms = ms * slowness.load(Ordering::SeqCst) / 100;
     let (state, id, name, record) = (state.clone(), id.to_string(), name.to_string(), record.clone());
     thread::spawn(move || {
         sleep_ms(ms);
