--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -7,6 +7,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -32,9 +33,21 @@
     start: Instant,
 }
 
+/// A case that has not ended by then could not run: status 2.
+const LONGEST_MS: u64 = 110_000;
+
 impl Record {
+    /// Begins the record, and ends the case if it takes too long.
     pub fn create(path: &Path) -> Record {
-        Record { file: Arc::new(Mutex::new(File::create(path).expect("record.txt"))), start: Instant::now() }
+        let record =
+            Record { file: Arc::new(Mutex::new(File::create(path).expect("record.txt"))), start: Instant::now() };
+        let late = record.clone();
+        thread::spawn(move || {
+            sleep_ms(LONGEST_MS);
+            late.line("the case took too long: it could not run");
+            std::process::exit(2);
+        });
+        record
     }
 
     pub fn ms(&self) -> u64 {
@@ -73,7 +86,17 @@
     line.split('"').nth(1).unwrap().to_string()
 }
 
-/// A process that the case started. It is killed when it is dropped.
+extern "C" {
+    fn prctl(option: i32, signal: u64) -> i32;
+}
+
+/// Has the system kill this process once the one that started it has ended (PR_SET_PDEATHSIG, SIGKILL).
+fn end_with_parent() -> std::io::Result<()> {
+    unsafe { prctl(1, 9) };
+    Ok(())
+}
+
+/// A process that the case started. It is killed when it is dropped, and when the case ends in any other way.
 pub struct Process {
     pub name: String,
     child: Child,
@@ -88,6 +111,7 @@
         for (key, value) in environment {
             start.env(key, value);
         }
+        unsafe { start.pre_exec(end_with_parent) };
         Process { name: name.to_string(), child: start.spawn().expect("/bin/sh starts") }
     }
 
