Review: run-case.sh ends what is left under dash, too

Cause: dash takes no signal before -- in kill, so a case that could not run left its processes. Change: kill -s KILL.

--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -15,7 +15,7 @@
 # The program puts itself and all that it starts into one process group, which is ended whatever happens.
 "target/review-2/$program" "$case_folder/record.txt" &
 group=$!
-trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$CASE_TMP"' EXIT
+trap 'kill -s KILL -- "-$group" 2>/dev/null; rm -rf "$CASE_TMP"' EXIT
 trap 'exit 2' INT TERM HUP
 wait "$group"
 status=$?
