--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -209,11 +209,14 @@
 /// For how long all threads of a process have waited for a core so far, in milliseconds; `None` if the system does not tell.
 pub fn waited_for_core_ms(pid: u32) -> Option<f64> {
     let mut nanoseconds = 0.0;
+    let mut threads = 0;
     for task in std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten() {
-        let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+        // A thread that has ended meanwhile has no file any more.
+        let Ok(text) = std::fs::read_to_string(task.path().join("schedstat")) else { continue };
         nanoseconds += text.split_whitespace().nth(1)?.parse::<f64>().ok()?;
+        threads += 1;
     }
-    Some(nanoseconds / 1e6)
+    (threads > 0).then_some(nanoseconds / 1e6)
 }
 
 /// The same for this program and several backends together. Exits with 2 if the system does not tell.
